--- /dev/null
+++ b/crates/anvilhub-coord/src/ids/id_error.rs
@@ -0,0 +1,22 @@
+use derive_more::{Display, Error};
+
+/// Why a text is not an identifier or a size.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum IdError {
+    /// The text breaks the rule for identifiers.
+    #[display(
+        "{kind} `{found}` is not an identifier; use 1 to 128 letters, digits, `.`, `_`, `-`, `/` or `:`"
+    )]
+    Text {
+        /// Name of the type.
+        kind: &'static str,
+        /// The text that was given.
+        found: String,
+    },
+    /// The text is not a digest of 64 hexadecimal digits.
+    #[display("digest `{found}` is not 64 hexadecimal digits; copy it whole from `anvilhub state`")]
+    Digest {
+        /// The text that was given.
+        found: String,
+    },
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/ids/mod.rs
@@ -0,0 +1,44 @@
+//! Newtypes for identifiers, sizes and rates.
+
+mod byte_size;
+mod call_rate;
+mod caller_name;
+mod connection_limit;
+mod failure_domain;
+mod id_error;
+mod incarnation;
+mod instance_id;
+mod number_id;
+mod platform_revision;
+mod request_id;
+mod service_name;
+mod shard_name;
+mod sheet_digest;
+mod sheet_version;
+mod slot_count;
+mod snapshot_id;
+mod text_id;
+mod ticket_number;
+mod upstream_id;
+
+pub use byte_size::ByteSize;
+pub use call_rate::CallRate;
+pub use caller_name::CallerName;
+pub use connection_limit::ConnectionLimit;
+pub use failure_domain::FailureDomain;
+pub use id_error::IdError;
+pub use incarnation::Incarnation;
+pub use instance_id::InstanceId;
+pub use platform_revision::PlatformRevision;
+pub use request_id::RequestId;
+pub use service_name::ServiceName;
+pub use shard_name::ShardName;
+pub use sheet_digest::SheetDigest;
+pub use sheet_version::SheetVersion;
+pub use slot_count::SlotCount;
+pub use snapshot_id::SnapshotId;
+pub use ticket_number::TicketNumber;
+pub use upstream_id::UpstreamId;
+
+/// Result of parsing an identifier or a size.
+pub type Result<T, E = IdError> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/anvilhub-coord/src/ids/number_id.rs
@@ -0,0 +1,22 @@
+/// Defines a numeric newtype.
+macro_rules! number_id {
+    ($(#[$meta:meta])* $name:ident, $inner:ty) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+            derive_more::Display, derive_more::From, derive_more::Into, derive_more::FromStr,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// The plain number.
+            pub fn get(self) -> $inner {
+                self.0
+            }
+        }
+    };
+}
+
+pub(crate) use number_id;
--- /dev/null
+++ b/crates/anvilhub-coord/src/ids/text_id.rs
@@ -0,0 +1,56 @@
+/// Longest identifier, in bytes. Keeps log lines and metric labels bounded.
+pub(crate) const MAX_TEXT_ID_BYTES: usize = 128;
+
+/// Says whether `text` is a usable identifier: 1 to 128 bytes of letters, digits, `.`, `_`, `-`, `/` or `:`.
+pub(crate) fn is_text_id(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-/:".contains(&byte);
+    !text.is_empty() && text.len() <= MAX_TEXT_ID_BYTES && text.bytes().all(allowed)
+}
+
+/// Defines a textual identifier that is cheap to clone.
+///
+/// Deserializing accepts any text so that a document check can report every bad identifier with its place;
+/// `FromStr` and `is_valid` apply the rule.
+macro_rules! text_id {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+
+            /// Says whether the identifier keeps to the rule that `FromStr` applies.
+            pub fn is_valid(&self) -> bool {
+                crate::ids::text_id::is_text_id(&self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = crate::ids::IdError;
+
+            /// # Errors
+            ///
+            /// Fails when `text` is empty, longer than 128 bytes, or has other bytes than letters, digits,
+            /// `.`, `_`, `-`, `/` and `:`.
+            fn from_str(text: &str) -> crate::ids::Result<Self> {
+                match crate::ids::text_id::is_text_id(text) {
+                    true => Ok(Self(text.into())),
+                    false => Err(crate::ids::IdError::Text {
+                        kind: stringify!($name),
+                        found: text.to_owned(),
+                    }),
+                }
+            }
+        }
+    };
+}
+
+pub(crate) use text_id;
--- /dev/null
+++ b/crates/anvilhub-coord/src/ids/upstream_id.rs
@@ -0,0 +1,6 @@
+use super::text_id::text_id;
+
+text_id! {
+    /// Identifier of an upstream, unique within a sheet.
+    UpstreamId
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/keyspace/key_range.rs
@@ -0,0 +1,66 @@
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::KEY_SPACE_END;
+
+/// A half-open range of keys, `start..end`.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[display("{start}..{end}")]
+pub struct KeyRange {
+    /// First key of the range.
+    pub start: u64,
+    /// First key after the range.
+    pub end: u64,
+}
+
+impl KeyRange {
+    /// The whole key space.
+    pub const WHOLE: Self = Self {
+        start: 0,
+        end: KEY_SPACE_END,
+    };
+
+    /// The range `start..end`.
+    pub fn new(start: u64, end: u64) -> Self {
+        Self { start, end }
+    }
+
+    /// The range that holds `key` alone.
+    pub fn single(key: u64) -> Self {
+        Self {
+            start: key,
+            end: key.saturating_add(1),
+        }
+    }
+
+    /// Number of keys in the range.
+    pub fn len(self) -> u64 {
+        self.end.saturating_sub(self.start)
+    }
+
+    /// Says whether the range holds no key.
+    pub fn is_empty(self) -> bool {
+        self.len() == 0
+    }
+
+    /// Says whether the range holds `key`.
+    pub fn contains(self, key: u64) -> bool {
+        self.start <= key && key < self.end
+    }
+
+    /// Says whether the range holds every key of `other`.
+    pub fn covers(self, other: Self) -> bool {
+        other.is_empty() || (self.start <= other.start && other.end <= self.end)
+    }
+
+    /// The keys that both ranges hold; empty when there are none.
+    pub fn intersect(self, other: Self) -> Self {
+        let start = self.start.max(other.start);
+        Self {
+            start,
+            end: self.end.min(other.end).max(start),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/keyspace/mod.rs
@@ -0,0 +1,10 @@
+//! Ranges of the key space and sets of them.
+
+mod key_range;
+mod range_set;
+
+pub use key_range::KeyRange;
+pub use range_set::RangeSet;
+
+/// First key after the key space.
+pub const KEY_SPACE_END: u64 = 1 << 32;
--- /dev/null
+++ b/crates/anvilhub-coord/src/sheet/route_policy.rs
@@ -0,0 +1,27 @@
+use std::time::Duration;
+
+use super::RouteMode;
+
+/// How sub-requests of a service are routed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutePolicy {
+    /// Who queues for the slots of a shard.
+    pub mode: RouteMode,
+    /// Hedges and retries per needed sub-request, between 0 and 1.
+    pub extra_load: f64,
+    /// Latency quantile after which a hedge is sent, between 0 and 1.
+    pub hedge_quantile: f64,
+    /// Deadline of requests that state none.
+    pub default_deadline: Duration,
+}
+
+impl Default for RoutePolicy {
+    fn default() -> Self {
+        Self {
+            mode: RouteMode::Owner,
+            extra_load: 0.05,
+            hedge_quantile: 0.95,
+            default_deadline: Duration::from_millis(1_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -0,0 +1,3 @@
+//! Tests of the coordination library, one file a feature.
+
+mod key_ranges;
--- /dev/null
+++ b/crates/anvilhub-dev/src/bin/generate-types.rs
@@ -0,0 +1,63 @@
+//! Generates the border types from `schemas/`.
+//!
+//! Run `cargo run -p anvilhub-dev --features generate --bin generate-types` from the repository root. The
+//! output is committed, so a build never needs this program.
+
+use std::fs;
+
+use eyre::{Result, WrapErr};
+use typify::{TypeSpace, TypeSpaceSettings};
+
+const SCHEMAS: [&str; 4] = ["sheet", "query", "upstream", "platform"];
+
+const DOMAIN_TYPES: [&str; 12] = [
+    "CallerName",
+    "FailureDomain",
+    "Incarnation",
+    "InstanceId",
+    "PlatformRevision",
+    "RequestId",
+    "ServiceName",
+    "ShardName",
+    "SheetVersion",
+    "SnapshotId",
+    "TicketNumber",
+    "UpstreamId",
+];
+
+/// Types that several schemas use; the first schema that defines one generates it.
+const SHARED_TYPES: [(&str, &str); 2] = [
+    ("UrgencyClass", "crate::border::sheet::UrgencyClass"),
+    ("RowEntry", "crate::border::query::RowEntry"),
+];
+
+fn main() -> Result<()> {
+    for name in SCHEMAS {
+        let input = format!("schemas/{name}.schema.json");
+        let text = fs::read_to_string(&input).wrap_err_with(|| format!("cannot read {input}"))?;
+        let code = generate(name, &text)?;
+        let output = format!("crates/anvilhub-coord/src/border/{name}.rs");
+        fs::write(&output, code).wrap_err_with(|| format!("cannot write {output}"))?;
+    }
+    Ok(())
+}
+
+fn generate(name: &str, text: &str) -> Result<String> {
+    let mut settings = TypeSpaceSettings::default();
+    settings.with_derive("PartialEq".to_owned());
+    for domain in DOMAIN_TYPES {
+        settings.with_replacement(domain, format!("crate::ids::{domain}"), std::iter::empty());
+    }
+    for (shared, path) in SHARED_TYPES {
+        if !path.contains(&format!("::{name}::")) {
+            settings.with_replacement(shared, path, std::iter::empty());
+        }
+    }
+    let mut space = TypeSpace::new(&settings);
+    space.add_root_schema(serde_json::from_str(text)?)?;
+    let file = syn::parse2(space.to_stream())?;
+    Ok(format!(
+        "//! Generated from `schemas/{name}.schema.json` by `generate-types`. Do not edit.\n\n{}",
+        prettyplease::unparse(&file)
+    ))
+}
--- /dev/null
+++ b/crates/anvilhub-dev/src/lib.rs
@@ -0,0 +1,1 @@
+//! Development tools of anvilhub.
--- /dev/null
+++ b/crates/anvilhubd/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/anvilhubd/tests/lib.rs
@@ -0,0 +1,1 @@
+//! Tests of the crate, one file a feature.
