Add the daemon's thin request path

Cause: a request has to pass through separate processes end to end before decisions are refined. Change: checked settings, lifecycle typestate, caller server on hyper, filter chain, fan-out with coverage over the key space, upstream connections on hyper's connection API, operator endpoints on oxhttp, and the configuration controller as a thread. Ruled out: oxhttp towards callers (it drops 'connection: close' and cannot be stopped) and hyper-util's pooled client (it resends a request by itself when a reused connection turns out closed, which a non-idempotent request must never meet).

--- a/crates/anvilhub-coord/src/border/mod.rs
+++ b/crates/anvilhub-coord/src/border/mod.rs
@@ -5,6 +5,8 @@
 #[allow(missing_docs, clippy::all)]
 pub mod query;
 #[allow(missing_docs, clippy::all)]
+pub mod settings;
+#[allow(missing_docs, clippy::all)]
 pub mod sheet;
 #[allow(missing_docs, clippy::all)]
 pub mod upstream;
--- a/crates/anvilhub-dev/src/bin/generate-types.rs
+++ b/crates/anvilhub-dev/src/bin/generate-types.rs
@@ -8,7 +8,7 @@
 use eyre::{Result, WrapErr};
 use typify::{TypeSpace, TypeSpaceSettings};
 
-const SCHEMAS: [&str; 4] = ["sheet", "query", "upstream", "platform"];
+const SCHEMAS: [&str; 5] = ["sheet", "query", "upstream", "platform", "settings"];
 
 const DOMAIN_TYPES: [&str; 12] = [
     "CallerName",
--- /dev/null
+++ b/crates/anvilhubd/src/controllers/mod.rs
@@ -0,0 +1,7 @@
+//! Controllers: threads that keep the shared state up to date.
+
+mod config_controller;
+mod platform_client;
+
+pub(crate) use config_controller::ConfigController;
+pub(crate) use platform_client::PlatformClient;
--- /dev/null
+++ b/crates/anvilhubd/src/daemon.rs
@@ -0,0 +1,115 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, bounded, select};
+use eyre::{Result, WrapErr};
+use log::info;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+
+use crate::DaemonSettings;
+use crate::caller::CallerServer;
+use crate::clock::DaemonClock;
+use crate::context::EntryContext;
+use crate::controllers::ConfigController;
+use crate::lifecycle::{Draining, InstanceLifecycle, Ready};
+use crate::logging;
+use crate::operator::OperatorServer;
+
+/// How often a draining instance looks for requests in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Runs an entry instance until a planned stop.
+///
+/// # Errors
+///
+/// Fails when the logger, a thread or a listening address cannot be set up.
+pub fn run(settings: DaemonSettings) -> Result<()> {
+    let _logger = logging::start(settings.log_level)?;
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .wrap_err("cannot install the metrics recorder")?;
+    let runtime = start_runtime(&settings)?;
+    let lifecycle = InstanceLifecycle::new();
+    let context = EntryContext::new(settings, DaemonClock::start(), lifecycle.stage());
+    let (drain_sender, drain) = bounded(1);
+    let (accepted_sender, accepted) = bounded(1);
+    let listener = bind_callers(&runtime, &context)?;
+    OperatorServer::new(Arc::clone(&context), metrics, drain_sender.clone()).spawn()?;
+    forward_signals(drain_sender)?;
+    ConfigController::new(Arc::clone(&context), accepted_sender).spawn()?;
+
+    info!(instance:% = context.settings.instance; "waiting for a sheet");
+    select! {
+        recv(accepted) -> _ => {}
+        recv(drain) -> _ => {
+            lifecycle.abandon();
+            return Ok(());
+        }
+    }
+    let lifecycle = lifecycle.serve();
+    info!(instance:% = context.settings.instance; "ready");
+    serve(&runtime, &context, listener, lifecycle, &drain);
+    Ok(())
+}
+
+fn start_runtime(settings: &DaemonSettings) -> Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads as usize)
+        .thread_name("request")
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the request threads")
+}
+
+fn bind_callers(runtime: &Runtime, context: &EntryContext) -> Result<TcpListener> {
+    let address = context.settings.caller_address;
+    runtime
+        .block_on(TcpListener::bind(address))
+        .wrap_err_with(|| format!("cannot listen on caller_address {address}; is it in use?"))
+}
+
+fn forward_signals(drain: crossbeam::channel::Sender<()>) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("cannot handle signals")?;
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                let _ = drain.try_send(());
+            }
+        })
+        .wrap_err("cannot start the signal thread")?;
+    Ok(())
+}
+
+fn serve(
+    runtime: &Runtime,
+    context: &Arc<EntryContext>,
+    listener: TcpListener,
+    lifecycle: InstanceLifecycle<Ready>,
+    drain: &Receiver<()>,
+) {
+    let (stop_sender, stop) = watch::channel(false);
+    let server = CallerServer::new(Arc::clone(context));
+    let serving = runtime.spawn(async move { server.serve(listener, stop).await });
+    let _ = drain.recv();
+    let lifecycle = lifecycle.drain();
+    info!(instance:% = context.settings.instance; "draining");
+    wait_for_requests(context, &lifecycle);
+    let _ = stop_sender.send(true);
+    let _ = runtime.block_on(serving);
+    lifecycle.stop();
+    info!(instance:% = context.settings.instance; "stopped");
+}
+
+/// Serves on for the balancer's lag, and then until no request is in flight.
+fn wait_for_requests(context: &EntryContext, _draining: &InstanceLifecycle<Draining>) {
+    std::thread::sleep(context.settings.drain_grace);
+    while context.requests_in_flight() > 0 {
+        std::thread::sleep(DRAIN_POLL);
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/filters/deadline_filter.rs
@@ -0,0 +1,20 @@
+use std::time::Duration;
+
+use super::{EntryRequest, RequestError, RequestFilter, Result};
+
+/// Turns the remaining time into a deadline and refuses requests that have none left.
+pub(crate) struct DeadlineFilter {
+    pub(crate) max_deadline: Duration,
+}
+
+impl RequestFilter for DeadlineFilter {
+    fn apply(&self, request: &mut EntryRequest) -> Result<()> {
+        let deadline_ms = request.query.deadline_ms;
+        if deadline_ms == 0 {
+            return Err(RequestError::DeadlineExpired { deadline_ms });
+        }
+        let remaining = Duration::from_millis(deadline_ms).min(self.max_deadline);
+        request.deadline = request.arrived + remaining;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -0,0 +1,90 @@
+use anvilhub_coord::border::query::{ErrorEntry, QueryAnswer, QueryOutcome};
+use anvilhub_coord::ids::{ByteSize, CallerName, RequestId, ServiceName};
+use derive_more::{Display, Error};
+use hyper::StatusCode;
+
+/// Why a request was refused or failed.
+#[derive(Clone, Debug, Display, Error, PartialEq)]
+pub(crate) enum RequestError {
+    #[display("no resource at {path}")]
+    UnknownPath { path: String },
+    #[display("the request body is malformed: {reason}")]
+    MalformedBody { reason: String },
+    #[display("the request body is larger than {limit} bytes")]
+    OversizedBody { limit: ByteSize },
+    #[display("the request body did not arrive within {millis} ms")]
+    SlowBody { millis: u128 },
+    #[display("service `{service}` is not in the sheet in force")]
+    UnknownService { service: ServiceName },
+    #[display("service `{service}` does not serve caller `{caller}`")]
+    CallerNotServed {
+        service: ServiceName,
+        caller: CallerName,
+    },
+    #[display("the deadline of {deadline_ms} ms leaves no time to run the request")]
+    DeadlineExpired { deadline_ms: u64 },
+    #[display("key {key} is outside the key space")]
+    UnknownKey { key: u64 },
+    #[display("no sheet is in force yet")]
+    NotReady,
+}
+
+impl RequestError {
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::UnknownPath { .. } | Self::UnknownService { .. } => StatusCode::NOT_FOUND,
+            Self::MalformedBody { .. } | Self::UnknownKey { .. } => StatusCode::BAD_REQUEST,
+            Self::OversizedBody { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody { .. } => StatusCode::REQUEST_TIMEOUT,
+            Self::CallerNotServed { .. } => StatusCode::FORBIDDEN,
+            Self::DeadlineExpired { .. } => StatusCode::GATEWAY_TIMEOUT,
+            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Stable code for programs.
+    pub(crate) fn code(&self) -> &'static str {
+        match self {
+            Self::UnknownPath { .. } => "unknown_path",
+            Self::MalformedBody { .. } => "malformed_body",
+            Self::OversizedBody { .. } => "oversized_body",
+            Self::SlowBody { .. } => "slow_body",
+            Self::UnknownService { .. } => "unknown_service",
+            Self::CallerNotServed { .. } => "caller_not_served",
+            Self::DeadlineExpired { .. } => "deadline_expired",
+            Self::UnknownKey { .. } => "unknown_key",
+            Self::NotReady => "not_ready",
+        }
+    }
+
+    fn remedy(&self) -> &'static str {
+        match self {
+            Self::UnknownPath { .. } => "send queries to POST /v1/query",
+            Self::MalformedBody { .. } => "send the JSON document that docs/callers.md describes",
+            Self::OversizedBody { .. } => "shorten the query or raise `max_body_bytes`",
+            Self::SlowBody { .. } => "send the whole body at once",
+            Self::UnknownService { .. } => "check the name against `anvilhub state`",
+            Self::CallerNotServed { .. } => "have the caller added to the service in the sheet",
+            Self::DeadlineExpired { .. } => "send the request with more time",
+            Self::UnknownKey { .. } => "use a key from 0 to 4294967295",
+            Self::NotReady => "send the request to an instance that is ready",
+        }
+    }
+
+    /// The answer to the caller. Every error here is raised before a sub-request is sent.
+    pub(crate) fn answer(&self, request_id: RequestId) -> QueryAnswer {
+        QueryAnswer {
+            request_id,
+            outcome: QueryOutcome::NotRun,
+            rows: Vec::new(),
+            snapshot: None,
+            coverage: None,
+            ticket: None,
+            error: Some(ErrorEntry {
+                code: self.code().to_owned(),
+                message: self.to_string(),
+                remedy: self.remedy().to_owned(),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon `anvilhubd`: I/O around the decisions of `anvilhub-coord`.
+
+mod caller;
+mod clock;
+mod context;
+mod controllers;
+mod daemon;
+mod fanout;
+mod filters;
+mod lifecycle;
+mod logging;
+mod operator;
+mod pool;
+mod settings;
+mod settings_error;
+
+pub use daemon::run;
+pub use settings::DaemonSettings;
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/crates/anvilhubd/src/pool/pool_error.rs
@@ -0,0 +1,41 @@
+use std::net::SocketAddr;
+
+use anvilhub_coord::border::upstream::SubRefusal;
+use anvilhub_coord::ids::ByteSize;
+use derive_more::{Display, Error};
+
+/// Why a sub-request has no answer.
+#[derive(Debug, Display, Error)]
+pub(crate) enum PoolError {
+    /// No connection was opened, so nothing was sent.
+    #[display("cannot connect to {address}: {reason}")]
+    Unconnected { address: SocketAddr, reason: String },
+    /// The upstream states that the sub-request did not run.
+    #[display("the upstream refused the sub-request: {}", refusal.reason)]
+    Refused {
+        #[error(not(source))]
+        refusal: SubRefusal,
+    },
+    /// The connection broke after the request may have been written.
+    #[display("the connection to {address} broke: {reason}")]
+    Broken { address: SocketAddr, reason: String },
+    /// No answer arrived in time.
+    #[display("{address} did not answer in time")]
+    Timeout { address: SocketAddr },
+    /// The answer is not a valid one for this sub-request.
+    #[display("{address} sent an unusable answer: {reason}")]
+    BadAnswer { address: SocketAddr, reason: String },
+    /// The answer is larger than the limit.
+    #[display("{address} sent an answer larger than {limit} bytes")]
+    OversizedAnswer {
+        address: SocketAddr,
+        limit: ByteSize,
+    },
+}
+
+impl PoolError {
+    /// Says whether the error proves that the upstream did not run the sub-request.
+    pub(crate) fn proves_not_run(&self) -> bool {
+        matches!(self, Self::Unconnected { .. } | Self::Refused { .. })
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/settings.rs
@@ -0,0 +1,293 @@
+use std::fs;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use anvilhub_coord::border::settings::SettingsDocument;
+use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId};
+use log::LevelFilter;
+
+use crate::SettingsError;
+
+type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+const ONE_HOUR_MS: u64 = 3_600_000;
+
+/// Checked settings of an entry instance.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// Identifier of the instance, as the platform lists it.
+    pub instance: InstanceId,
+    /// Failure domain that the instance runs in.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// Where the platform's configuration service and instance list answer.
+    pub platform_address: SocketAddr,
+    /// Peer addresses to ask besides the listed ones.
+    pub peers: Vec<SocketAddr>,
+    /// Most detailed log level that is written.
+    pub log_level: LevelFilter,
+    /// Threads that serve requests.
+    pub worker_threads: u32,
+    /// Largest accepted request body.
+    pub max_body: ByteSize,
+    /// Largest accepted upstream answer.
+    pub max_answer: ByteSize,
+    /// Most caller connections at once.
+    pub max_caller_connections: u32,
+    /// Longest deadline that a caller may ask for.
+    pub max_deadline: Duration,
+    /// Longest time for a caller to send its headers, and then its body.
+    pub body_timeout: Duration,
+    /// Longest time to open a connection to an upstream.
+    pub connect_timeout: Duration,
+    /// How long requests may still arrive after readiness is withdrawn.
+    pub drain_grace: Duration,
+    /// When set, how long a starting instance waits for silent peers before it starts without them.
+    pub isolated_start_after: Option<Duration>,
+    /// How long a ticket may be started after its issue.
+    pub ticket_lifetime: Duration,
+    /// How long a ticket's outcome is kept after its expiry.
+    pub ticket_retention: Duration,
+    /// Gap between heartbeats above which the process counts as paused.
+    pub pause_limit: Duration,
+    /// Time between exchanges of state with peers.
+    pub gossip_interval: Duration,
+    /// Longest wait for a peer's answer to an exchange.
+    pub peer_timeout: Duration,
+}
+
+impl Default for DaemonSettings {
+    fn default() -> Self {
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            instance: InstanceId::from_str("entry").expect("a constant identifier is valid"),
+            failure_domain: FailureDomain::from_str("local")
+                .expect("a constant identifier is valid"),
+            caller_address: unset,
+            peer_address: unset,
+            operator_address: unset,
+            platform_address: unset,
+            peers: Vec::new(),
+            log_level: LevelFilter::Info,
+            worker_threads: 4,
+            max_body: ByteSize(64 * 1024),
+            max_answer: ByteSize(4 * 1024 * 1024),
+            max_caller_connections: 4_096,
+            max_deadline: Duration::from_secs(60),
+            body_timeout: Duration::from_secs(5),
+            connect_timeout: Duration::from_millis(250),
+            drain_grace: Duration::from_secs(5),
+            isolated_start_after: None,
+            ticket_lifetime: Duration::from_secs(30),
+            ticket_retention: Duration::from_secs(120),
+            pause_limit: Duration::from_secs(1),
+            gossip_interval: Duration::from_millis(500),
+            peer_timeout: Duration::from_millis(1_000),
+        }
+    }
+}
+
+impl DaemonSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read, is not the expected document, lacks a required field, or holds a
+    /// value that cannot be used.
+    pub fn load(path: &Path) -> Result<Self> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+            path: name.clone(),
+            reason: error.to_string(),
+        })?;
+        let document = serde_json::from_str(&text).map_err(|error| SettingsError::Malformed {
+            path: name,
+            reason: error.to_string(),
+        })?;
+        Self::from_document(&document)
+    }
+
+    /// Checks a parsed settings document.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a required field is absent or a value cannot be used.
+    pub fn from_document(document: &SettingsDocument) -> Result<Self> {
+        let defaults = Self::default();
+        let settings = Self {
+            instance: required(
+                &document.instance,
+                "instance",
+                "\"entry-1\"",
+                "an identifier",
+            )?,
+            failure_domain: required(
+                &document.failure_domain,
+                "failure_domain",
+                "\"fd-a\"",
+                "an identifier",
+            )?,
+            caller_address: address(
+                &document.caller_address,
+                "caller_address",
+                "\"127.0.0.1:7101\"",
+            )?,
+            peer_address: address(&document.peer_address, "peer_address", "\"127.0.0.1:7201\"")?,
+            operator_address: address(
+                &document.operator_address,
+                "operator_address",
+                "\"127.0.0.1:7301\"",
+            )?,
+            platform_address: address(
+                &document.platform_address,
+                "platform_address",
+                "\"127.0.0.1:7000\"",
+            )?,
+            peers: document
+                .peers
+                .iter()
+                .map(|peer| parse(peer, "peers", "an IP address and a port"))
+                .collect::<Result<_>>()?,
+            log_level: match &document.log_level {
+                Some(level) => parse(level, "log_level", "off, error, warn, info, debug or trace")?,
+                None => defaults.log_level,
+            },
+            worker_threads: count(document.worker_threads, "worker_threads", 1..=256)?
+                .unwrap_or(defaults.worker_threads),
+            max_body: size(document.max_body_bytes, "max_body_bytes")?.unwrap_or(defaults.max_body),
+            max_answer: size(document.max_answer_bytes, "max_answer_bytes")?
+                .unwrap_or(defaults.max_answer),
+            max_caller_connections: count(
+                document.max_caller_connections,
+                "max_caller_connections",
+                1..=1_000_000,
+            )?
+            .unwrap_or(defaults.max_caller_connections),
+            max_deadline: millis(document.max_deadline_ms, "max_deadline_ms")?
+                .unwrap_or(defaults.max_deadline),
+            body_timeout: millis(document.body_timeout_ms, "body_timeout_ms")?
+                .unwrap_or(defaults.body_timeout),
+            connect_timeout: millis(document.connect_timeout_ms, "connect_timeout_ms")?
+                .unwrap_or(defaults.connect_timeout),
+            drain_grace: millis(document.drain_grace_ms, "drain_grace_ms")?
+                .unwrap_or(defaults.drain_grace),
+            isolated_start_after: millis(
+                document.isolated_start_after_ms,
+                "isolated_start_after_ms",
+            )?,
+            ticket_lifetime: millis(document.ticket_lifetime_ms, "ticket_lifetime_ms")?
+                .unwrap_or(defaults.ticket_lifetime),
+            ticket_retention: millis(document.ticket_retention_ms, "ticket_retention_ms")?
+                .unwrap_or(defaults.ticket_retention),
+            pause_limit: millis(document.pause_limit_ms, "pause_limit_ms")?
+                .unwrap_or(defaults.pause_limit),
+            gossip_interval: millis(document.gossip_interval_ms, "gossip_interval_ms")?
+                .unwrap_or(defaults.gossip_interval),
+            peer_timeout: millis(document.peer_timeout_ms, "peer_timeout_ms")?
+                .unwrap_or(defaults.peer_timeout),
+        };
+        settings.check_distinct_addresses()?;
+        Ok(settings)
+    }
+
+    fn check_distinct_addresses(&self) -> Result<()> {
+        let addresses = [
+            ("caller_address", self.caller_address),
+            ("peer_address", self.peer_address),
+            ("operator_address", self.operator_address),
+            ("platform_address", self.platform_address),
+        ];
+        for (index, (first, address)) in addresses.iter().enumerate() {
+            let twin = addresses[index + 1..]
+                .iter()
+                .find(|(_, other)| other == address);
+            if let Some((second, _)) = twin {
+                return Err(SettingsError::SharedAddress {
+                    first,
+                    second,
+                    address: address.to_string(),
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn required<T: FromStr>(
+    value: &Option<String>,
+    field: &'static str,
+    example: &'static str,
+    expected: &str,
+) -> Result<T> {
+    match value {
+        Some(text) => parse(text, field, expected),
+        None => Err(SettingsError::Missing { field, example }),
+    }
+}
+
+fn address(
+    value: &Option<String>,
+    field: &'static str,
+    example: &'static str,
+) -> Result<SocketAddr> {
+    let address: SocketAddr = required(value, field, example, "an IP address and a port")?;
+    match address.port() {
+        0 => Err(unusable(field, address, "a port other than 0")),
+        _ => Ok(address),
+    }
+}
+
+fn parse<T: FromStr>(text: &str, field: &'static str, expected: &str) -> Result<T> {
+    text.parse().map_err(|_| unusable(field, text, expected))
+}
+
+fn count(
+    value: Option<u32>,
+    field: &'static str,
+    accepted: RangeInclusive<u32>,
+) -> Result<Option<u32>> {
+    within(value, field, accepted)
+}
+
+fn size(value: Option<u64>, field: &'static str) -> Result<Option<ByteSize>> {
+    const SMALLEST: u64 = 1_024;
+    const LARGEST: u64 = 64 * 1024 * 1024;
+    Ok(within(value, field, SMALLEST..=LARGEST)?.map(ByteSize))
+}
+
+fn millis(value: Option<u64>, field: &'static str) -> Result<Option<Duration>> {
+    Ok(within(value, field, 1..=ONE_HOUR_MS)?.map(Duration::from_millis))
+}
+
+fn within<T>(
+    value: Option<T>,
+    field: &'static str,
+    accepted: RangeInclusive<T>,
+) -> Result<Option<T>>
+where
+    T: PartialOrd + std::fmt::Display,
+{
+    match value {
+        Some(number) if !accepted.contains(&number) => {
+            let expected = format!("a number from {} to {}", accepted.start(), accepted.end());
+            Err(unusable(field, number, &expected))
+        }
+        other => Ok(other),
+    }
+}
+
+fn unusable(field: &'static str, found: impl std::fmt::Display, expected: &str) -> SettingsError {
+    SettingsError::Unusable {
+        field,
+        found: found.to_string(),
+        expected: expected.to_owned(),
+    }
+}
--- a/crates/anvilhubd/tests/lib.rs
+++ b/crates/anvilhubd/tests/lib.rs
@@ -1,1 +1,3 @@
-//! Tests of the crate, one file a feature.
+//! Tests of the daemon, one file a feature.
+
+mod settings_check;
