--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod logging;
 mod operator;
+mod peer;
 mod pool;
 mod settings;
 mod settings_error;
--- /dev/null
+++ b/crates/anvilhubd/src/peer/peer_clients.rs
@@ -0,0 +1,128 @@
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::client::Client;
+use jsonrpsee::ws_client::{PingConfig, WsClientBuilder};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::{PeerError, Result};
+
+/// Largest message between instances: a sheet of 1 MB with its escapes, or a batch of answers.
+const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
+/// Calls in flight on the connection to one peer.
+const MAX_CALLS: usize = 4_096;
+/// Interval of pings, which show that a connection went silent.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// One WebSocket connection to each peer, opened when it is first used.
+pub(crate) struct PeerClients {
+    clients: Mutex<HashMap<SocketAddr, Arc<Client>>>,
+    connect_timeout: Duration,
+}
+
+impl PeerClients {
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
+        Self {
+            clients: Mutex::default(),
+            connect_timeout,
+        }
+    }
+
+    /// Calls the peer at `address` and waits for at most `patience`.
+    ///
+    /// A call that failed may still have reached the peer. The connection is dropped after a failure, so that
+    /// the next call opens a new one: an open connection may be silent while new ones work.
+    pub(crate) async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        patience: Duration,
+        call: impl FnOnce(Arc<Client>) -> F,
+    ) -> Result<T>
+    where
+        F: Future<Output = std::result::Result<T, ClientError>>,
+    {
+        let exchange = async {
+            let client = self.client(address).await?;
+            call(client).await.map_err(|error| failure(address, &error))
+        };
+        let silent = || PeerError::Silent {
+            address,
+            reason: "the call timed out".to_owned(),
+        };
+        let result = timeout(patience, exchange)
+            .await
+            .unwrap_or_else(|_| Err(silent()));
+        if matches!(
+            result,
+            Err(PeerError::Silent { .. } | PeerError::Absent { .. })
+        ) {
+            self.lock().remove(&address);
+        }
+        result
+    }
+
+    async fn client(&self, address: SocketAddr) -> Result<Arc<Client>> {
+        let known = self.lock().get(&address).cloned();
+        if let Some(client) = known.filter(|client| client.is_connected()) {
+            return Ok(client);
+        }
+        let client = Arc::new(self.connect(address).await?);
+        self.lock().insert(address, Arc::clone(&client));
+        Ok(client)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Client> {
+        let silent = |reason: String| PeerError::Silent { address, reason };
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| silent("connecting timed out".to_owned()))?
+            .map_err(|error| connect_error(address, &error))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| silent(error.to_string()))?;
+        WsClientBuilder::default()
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .max_concurrent_requests(MAX_CALLS)
+            .enable_ws_ping(
+                PingConfig::new()
+                    .ping_interval(PING_INTERVAL)
+                    .inactive_limit(2 * PING_INTERVAL),
+            )
+            .build_with_stream(format!("ws://{address}"), stream)
+            .await
+            .map_err(|error| silent(error.to_string()))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Client>>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn connect_error(address: SocketAddr, error: &io::Error) -> PeerError {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => PeerError::Absent { address },
+        _ => PeerError::Silent {
+            address,
+            reason: error.to_string(),
+        },
+    }
+}
+
+fn failure(address: SocketAddr, error: &ClientError) -> PeerError {
+    match error {
+        ClientError::Call(error) => PeerError::Failed {
+            address,
+            reason: error.message().to_owned(),
+        },
+        other => PeerError::Silent {
+            address,
+            reason: other.to_string(),
+        },
+    }
+}
