Add tickets for non-idempotent requests

A caller may never receive the outcome of a request that took effect, and its resend may reach an instance that never saw the first one. A ticket names the one instance and incarnation that may run the request.

TicketTable issues tickets, starts each once, records its outcome until expiry plus retention, and refuses with a typed error when the bound on records or on bytes of recorded answers is reached. TicketRun decides directly before the first byte whether a request may still be sent, and allows another try only on proof that the one before did not run. The table checks that proof itself: a `not_run` claimed for a request that was sent is recorded as `unknown`.

Ruled out: answering `not_run` for a ticket that does not match its record, because the mismatch may stem from a damaged resend of a request that ran; connecting to the address in a ticket without finding it in the instance list, because the ticket is caller input.

--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod keyspace;
 pub mod mutation;
 pub mod sheet;
+pub mod ticket;
 pub mod time;
--- /dev/null
+++ b/crates/anvilhub-coord/src/ticket/mod.rs
@@ -0,0 +1,33 @@
+//! Tickets: a non-idempotent request takes effect at most once, without stored state.
+//!
+//! A ticket names the only instance that may run a request. The order of calls for its owner is
+//! [`TicketTable::start`], then [`TicketRun::may_send`] and [`TicketRun::after_try`] for each try, then
+//! [`TicketTable::finish`]. Admission comes after `start`, so that its refusal is recorded as final.
+
+mod drain_report;
+mod forward_decision;
+mod request_digest;
+mod request_ticket;
+mod ticket_fault;
+mod ticket_identity;
+mod ticket_limits;
+mod ticket_outcome;
+mod ticket_record;
+mod ticket_refusal;
+mod ticket_run;
+mod ticket_table;
+
+pub use drain_report::DrainReport;
+pub use forward_decision::{ForwardDecision, RequestOrigin};
+pub use request_digest::RequestDigest;
+pub use request_ticket::RequestTicket;
+pub use ticket_fault::TicketFault;
+pub use ticket_identity::TicketIdentity;
+pub use ticket_limits::TicketLimits;
+pub use ticket_outcome::{NotRunReason, TicketOutcome, UnknownReason};
+pub use ticket_refusal::TicketRefusal;
+pub use ticket_run::{SendDecision, TicketRun, TryDecision, TryResult};
+pub use ticket_table::{TicketStart, TicketTable};
+
+/// Result of a ticket operation.
+pub type Result<T, E = TicketRefusal> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/anvilhub-coord/src/ticket/request_digest.rs
@@ -0,0 +1,17 @@
+use sha2::{Digest, Sha256};
+
+/// Digest of what a request asks. Tells a resend from another request under the same ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestDigest([u8; 32]);
+
+impl RequestDigest {
+    /// Digest of a request for `key` with the text `query`.
+    ///
+    /// The request id and the deadline are left out: a resend may change both.
+    pub fn of(key: u64, query: &str) -> Self {
+        let digest = Sha256::new()
+            .chain_update(key.to_be_bytes())
+            .chain_update(query);
+        Self(digest.finalize().into())
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/ticket/request_ticket.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+use crate::border::query::TicketEntry;
+use crate::ids::{CallerName, ServiceName, TicketNumber};
+
+use super::{TicketFault, TicketIdentity};
+
+/// Names the only instance that may run a non-idempotent request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestTicket {
+    /// The owner: the instance that may run the request, in the incarnation that issued the ticket.
+    pub owner: TicketIdentity,
+    /// Number, unique within the owner's incarnation.
+    pub number: TicketNumber,
+    /// Random number, so that a caller cannot guess another caller's ticket.
+    pub nonce: u64,
+    /// Service that the request goes to.
+    pub service: ServiceName,
+    /// Caller that the ticket was issued to.
+    pub caller: CallerName,
+    /// Lifetime at issue, on the owner's clock. Only the owner's own record decides about expiry.
+    pub lifetime: Duration,
+}
+
+impl TryFrom<&TicketEntry> for RequestTicket {
+    type Error = TicketFault;
+
+    /// # Errors
+    ///
+    /// Fails when the address is not an IP address and port, or an identifier breaks the rule for
+    /// identifiers.
+    fn try_from(entry: &TicketEntry) -> Result<Self, TicketFault> {
+        let address = entry
+            .address
+            .parse()
+            .map_err(|_| TicketFault::Address(entry.address.clone()))?;
+        if !entry.owner.is_valid() {
+            return Err(TicketFault::Identifier("owner"));
+        }
+        if !entry.service.is_valid() {
+            return Err(TicketFault::Identifier("service"));
+        }
+        if !entry.caller.is_valid() {
+            return Err(TicketFault::Identifier("caller"));
+        }
+        Ok(Self {
+            owner: TicketIdentity {
+                instance: entry.owner.clone(),
+                address,
+                incarnation: entry.incarnation,
+            },
+            number: entry.number,
+            nonce: entry.nonce,
+            service: entry.service.clone(),
+            caller: entry.caller.clone(),
+            lifetime: Duration::from_millis(entry.expires_in_ms),
+        })
+    }
+}
+
+impl From<&RequestTicket> for TicketEntry {
+    fn from(ticket: &RequestTicket) -> Self {
+        Self {
+            owner: ticket.owner.instance.clone(),
+            address: ticket.owner.address.to_string(),
+            incarnation: ticket.owner.incarnation,
+            number: ticket.number,
+            nonce: ticket.nonce,
+            service: ticket.service.clone(),
+            caller: ticket.caller.clone(),
+            expires_in_ms: u64::try_from(ticket.lifetime.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/ticket/ticket_fault.rs
@@ -0,0 +1,12 @@
+use derive_more::{Display, Error};
+
+/// Why a ticket in a request cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum TicketFault {
+    /// The owner's address is not an IP address and a port.
+    #[display("ticket address `{_0}` is not an IP address and port; send the ticket unchanged")]
+    Address(#[error(not(source))] String),
+    /// The named identifier breaks the rule for identifiers.
+    #[display("ticket field `{_0}` is not an identifier; send the ticket unchanged")]
+    Identifier(#[error(not(source))] &'static str),
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/ticket/ticket_outcome.rs
@@ -0,0 +1,140 @@
+use std::sync::Arc;
+
+use derive_more::Display;
+
+use crate::border::query::{ErrorEntry, QueryAnswer, QueryOutcome};
+use crate::ids::RequestId;
+
+/// What is known of a ticketed request's effect. The three stay apart: none is inferred from another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TicketOutcome {
+    /// The request ran; every resend gets this answer.
+    Done(Arc<QueryAnswer>),
+    /// The request provably did not run and will not under this ticket.
+    NotRun(NotRunReason),
+    /// The request may or may not have run.
+    Unknown(UnknownReason),
+}
+
+/// Why a ticketed request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+pub enum NotRunReason {
+    /// The ticket expired before the request was sent.
+    #[display("the ticket expired before the request was sent")]
+    Expired,
+    /// The request's deadline passed before it was sent.
+    #[display("the deadline passed before the request was sent")]
+    DeadlinePassed,
+    /// The instance shed the request before it was sent.
+    #[display("the instance is overloaded")]
+    Shed,
+    /// No upstream of the key's shard takes requests.
+    #[display("no upstream of the key takes requests")]
+    NoUpstream,
+    /// Every try was refused by its upstream or found no connection.
+    #[display("every try was refused or found no connection")]
+    Refused,
+}
+
+/// Why the effect of a ticketed request is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+pub enum UnknownReason {
+    /// The request was sent and no usable answer came back.
+    #[display("the request was sent and no answer came back")]
+    AnswerLost,
+    /// The request still runs and the caller's time is over.
+    #[display("the request still runs")]
+    StillRunning,
+    /// The ticket's owner cannot be reached.
+    #[display("the ticket's owner cannot be reached")]
+    OwnerUnreachable,
+    /// The instance list and the settings do not name the ticket's owner at the ticket's address.
+    #[display("the ticket's owner is not a listed instance")]
+    OwnerNotListed,
+    /// The owner's process that issued the ticket has ended.
+    #[display("the process that issued the ticket has ended")]
+    IncarnationEnded,
+}
+
+impl NotRunReason {
+    /// Stable code for the error of an answer.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Expired => "ticket_expired",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::Shed => "shed",
+            Self::NoUpstream => "no_upstream",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+impl UnknownReason {
+    /// Stable code for the error of an answer.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::AnswerLost => "answer_lost",
+            Self::StillRunning => "still_running",
+            Self::OwnerUnreachable => "owner_unreachable",
+            Self::OwnerNotListed => "owner_not_listed",
+            Self::IncarnationEnded => "incarnation_ended",
+        }
+    }
+
+    /// Says whether a resend with the same ticket can still bring the outcome.
+    fn can_resend(self) -> bool {
+        match self {
+            Self::StillRunning | Self::OwnerUnreachable | Self::OwnerNotListed => true,
+            Self::AnswerLost | Self::IncarnationEnded => false,
+        }
+    }
+}
+
+impl TicketOutcome {
+    /// The outcome's name at the border.
+    pub fn kind(&self) -> QueryOutcome {
+        match self {
+            Self::Done(_) => QueryOutcome::Done,
+            Self::NotRun(_) => QueryOutcome::NotRun,
+            Self::Unknown(_) => QueryOutcome::Unknown,
+        }
+    }
+
+    /// The answer for the request or resend `request_id`.
+    pub fn to_answer(&self, request_id: RequestId) -> QueryAnswer {
+        if let Self::Done(answer) = self {
+            return QueryAnswer {
+                request_id,
+                ..QueryAnswer::clone(answer)
+            };
+        }
+        QueryAnswer {
+            request_id,
+            outcome: self.kind(),
+            rows: Vec::new(),
+            snapshot: None,
+            coverage: None,
+            ticket: None,
+            error: self.to_error(),
+        }
+    }
+
+    fn to_error(&self) -> Option<ErrorEntry> {
+        match self {
+            Self::Done(_) => None,
+            Self::NotRun(reason) => Some(ErrorEntry {
+                code: reason.code().to_owned(),
+                message: format!("not run: {reason}"),
+                remedy: "send the request without a ticket to get a new one".to_owned(),
+            }),
+            Self::Unknown(reason) => Some(ErrorEntry {
+                code: reason.code().to_owned(),
+                message: format!("outcome unknown: {reason}"),
+                remedy: match reason.can_resend() {
+                    true => "send the request again with the same ticket".to_owned(),
+                    false => "look up the effect before ordering again".to_owned(),
+                },
+            }),
+        }
+    }
+}
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,3 +1,4 @@
 //! Tests of the coordination library, one file a feature.
 
 mod key_ranges;
+mod ticket_table;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/ticket_table.rs
@@ -0,0 +1,248 @@
+//! Guards against tickets that start twice, start late, leak another caller's answer, or fill the memory.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome, RowEntry, TicketEntry};
+use anvilhub_coord::ids::Incarnation;
+use anvilhub_coord::ticket::{
+    ForwardDecision, NotRunReason, RequestDigest, RequestOrigin, RequestTicket, SendDecision,
+    TicketFault, TicketIdentity, TicketLimits, TicketOutcome, TicketRefusal, TicketStart,
+    TicketTable, TryDecision, TryResult, UnknownReason,
+};
+use anvilhub_coord::time::ClockTime;
+
+const NOW: ClockTime = ClockTime(1_000);
+const DEADLINE: ClockTime = ClockTime(30_000_000);
+
+fn identity(instance: &str, port: u16) -> TicketIdentity {
+    TicketIdentity {
+        instance: instance.parse().unwrap(),
+        address: ([127, 0, 0, 1], port).into(),
+        incarnation: Incarnation(7),
+    }
+}
+
+fn table(max_tickets: usize) -> TicketTable {
+    let limits = TicketLimits {
+        max_tickets,
+        max_recorded_bytes: 10,
+        ..TicketLimits::default()
+    };
+    TicketTable::new(identity("e1", 1), limits)
+}
+
+fn issue(table: &mut TicketTable) -> Result<RequestTicket, TicketRefusal> {
+    let service = "dispatch".parse().unwrap();
+    table.issue(service, "desk".parse().unwrap(), 99, NOW)
+}
+
+fn start(table: &mut TicketTable, ticket: &RequestTicket, now: ClockTime) -> TicketStart {
+    let request = RequestDigest::of(5, "book");
+    table.start(ticket, request, DEADLINE, now).unwrap()
+}
+
+fn answer(value: &str) -> TicketOutcome {
+    TicketOutcome::Done(Arc::new(QueryAnswer {
+        request_id: "r1".parse().unwrap(),
+        outcome: QueryOutcome::Done,
+        rows: vec![RowEntry {
+            key: 5,
+            value: value.to_owned(),
+        }],
+        snapshot: None,
+        coverage: None,
+        ticket: None,
+        error: None,
+    }))
+}
+
+/// Runs the ticket's request to `done` with a row of `value`.
+fn complete(table: &mut TicketTable, ticket: &RequestTicket, value: &str) {
+    let TicketStart::Run(mut run) = start(table, ticket, NOW) else {
+        panic!("an issued ticket does not start");
+    };
+    assert_eq!(run.may_send(NOW), SendDecision::Send);
+    assert_eq!(run.after_try(TryResult::Answered), TryDecision::Finish);
+    table.finish(run, answer(value), NOW);
+}
+
+#[test]
+fn resend_gets_record() {
+    let mut table = table(2);
+    let ticket = issue(&mut table).unwrap();
+    complete(&mut table, &ticket, "pallet 4");
+
+    let TicketStart::Recorded(outcome) = start(&mut table, &ticket, NOW) else {
+        panic!("a finished ticket starts again");
+    };
+    let resent = outcome.to_answer("r2".parse().unwrap());
+    assert_eq!(resent.request_id.as_str(), "r2");
+    assert_eq!(resent.rows[0].value, "pallet 4");
+}
+
+#[test]
+fn resend_waits() {
+    let mut table = table(2);
+    let ticket = issue(&mut table).unwrap();
+    let TicketStart::Run(run) = start(&mut table, &ticket, NOW) else {
+        panic!("an issued ticket does not start");
+    };
+
+    assert!(matches!(start(&mut table, &ticket, NOW), TicketStart::Wait));
+    assert_eq!(table.outcome(&ticket), Ok(None));
+    let shed = TicketOutcome::NotRun(NotRunReason::Shed);
+    table.finish(run, shed.clone(), NOW);
+    assert_eq!(table.outcome(&ticket), Ok(Some(shed)));
+}
+
+#[test]
+fn claims_need_proof() {
+    let mut table = table(2);
+    let ticket = issue(&mut table).unwrap();
+    let TicketStart::Run(mut run) = start(&mut table, &ticket, NOW) else {
+        panic!("an issued ticket does not start");
+    };
+    assert_eq!(run.may_send(NOW), SendDecision::Send);
+
+    let claimed = TicketOutcome::NotRun(NotRunReason::Refused);
+    let recorded = table.finish(run, claimed, NOW);
+    assert_eq!(recorded, TicketOutcome::Unknown(UnknownReason::AnswerLost));
+}
+
+#[test]
+fn tries_are_bounded() {
+    let mut table = table(2);
+    let ticket = issue(&mut table).unwrap();
+    let TicketStart::Run(mut run) = start(&mut table, &ticket, NOW) else {
+        panic!("an issued ticket does not start");
+    };
+    let mut sent = 0;
+    while run.may_send(NOW) == SendDecision::Send {
+        sent += 1;
+        assert_eq!(run.after_try(TryResult::Refused), TryDecision::TryAgain);
+    }
+
+    assert_eq!(sent, TicketLimits::default().max_tries);
+}
+
+#[test]
+fn altered_ticket_refused() {
+    let mut table = table(2);
+    let ticket = issue(&mut table).unwrap();
+    let altered = |change: fn(&mut RequestTicket)| {
+        let mut ticket = ticket.clone();
+        change(&mut ticket);
+        ticket
+    };
+    let cases = [
+        altered(|ticket| ticket.nonce += 1),
+        altered(|ticket| ticket.caller = "thief".parse().unwrap()),
+        altered(|ticket| ticket.service = "ledger".parse().unwrap()),
+        altered(|ticket| ticket.number.0 += 1),
+        altered(|ticket| ticket.owner.incarnation.0 += 1),
+    ];
+
+    for ticket in cases {
+        let request = RequestDigest::of(5, "book");
+        let refusal = table.start(&ticket, request, DEADLINE, NOW).unwrap_err();
+        assert_eq!(refusal.outcome(), QueryOutcome::Unknown, "{refusal}");
+    }
+}
+
+#[test]
+fn other_request_refused() {
+    let mut table = table(2);
+    let ticket = issue(&mut table).unwrap();
+    complete(&mut table, &ticket, "a");
+
+    let other = RequestDigest::of(5, "cancel");
+    let refusal = table.start(&ticket, other, DEADLINE, NOW).unwrap_err();
+    assert_eq!(refusal.code(), "ticket_other_request");
+}
+
+#[test]
+fn table_is_bounded() {
+    let mut table = table(2);
+    let first = issue(&mut table).unwrap();
+    issue(&mut table).unwrap();
+    let refusal = issue(&mut table).unwrap_err();
+    assert_eq!(refusal.outcome(), QueryOutcome::NotRun);
+
+    let later = NOW + Duration::from_secs(120);
+    start_after_retention(&mut table, &first, later);
+    assert!(table.is_empty());
+    issue(&mut table).unwrap();
+}
+
+fn start_after_retention(table: &mut TicketTable, ticket: &RequestTicket, now: ClockTime) {
+    let request = RequestDigest::of(5, "book");
+    let refusal = table.start(ticket, request, DEADLINE, now).unwrap_err();
+    assert_eq!(refusal.outcome(), QueryOutcome::Unknown);
+}
+
+#[test]
+fn recorded_bytes_bounded() {
+    let mut table = table(5);
+    let ticket = issue(&mut table).unwrap();
+    complete(&mut table, &ticket, "more than ten bytes");
+
+    assert_eq!(issue(&mut table).unwrap_err().code(), "ticket_table_full");
+}
+
+#[test]
+fn drain_counts_tickets() {
+    let mut table = table(5);
+    let [running, recorded, _issued] = [(); 3].map(|()| issue(&mut table).unwrap());
+    complete(&mut table, &recorded, "a");
+    let TicketStart::Run(run) = start(&mut table, &running, NOW) else {
+        panic!("an issued ticket does not start");
+    };
+    table.drain();
+
+    assert_eq!(issue(&mut table), Err(TicketRefusal::Draining));
+    assert_eq!(table.drain_report(NOW).owned(), 3);
+    let expired = NOW + Duration::from_secs(60);
+    assert_eq!(table.drain_report(expired).running, 1);
+    assert_eq!(table.drain_report(expired).owned(), 1);
+    table.finish(run, TicketOutcome::NotRun(NotRunReason::Shed), expired);
+    assert_eq!(table.drain_report(expired).owned(), 0);
+}
+
+#[test]
+fn border_keeps_ticket() {
+    let mut table = table(1);
+    let ticket = issue(&mut table).unwrap();
+    let mut entry = TicketEntry::from(&ticket);
+    assert_eq!(RequestTicket::try_from(&entry), Ok(ticket));
+
+    entry.address = "localhost:80".to_owned();
+    let fault = TicketFault::Address(entry.address.clone());
+    assert_eq!(RequestTicket::try_from(&entry), Err(fault));
+}
+
+#[test]
+fn forwards_reach_owner() {
+    let ticket = issue(&mut table(1)).unwrap();
+    let owner = identity("e1", 1);
+    let restarted = TicketIdentity {
+        incarnation: Incarnation(8),
+        ..owner.clone()
+    };
+    let other = identity("e2", 2);
+    let decide = |me, origin, listed| ForwardDecision::decide(&ticket, me, origin, listed);
+    let ended = ForwardDecision::Unknown(UnknownReason::IncarnationEnded);
+    let unlisted = ForwardDecision::Unknown(UnknownReason::OwnerNotListed);
+    let address = owner.address;
+    let (caller, peer) = (RequestOrigin::Caller, RequestOrigin::Peer);
+
+    assert_eq!(decide(&owner, peer, None), ForwardDecision::Own);
+    assert_eq!(decide(&restarted, caller, Some(address)), ended);
+    assert_eq!(
+        decide(&other, caller, Some(address)),
+        ForwardDecision::Forward(address)
+    );
+    assert_eq!(decide(&other, peer, Some(address)), ended);
+    assert_eq!(decide(&other, caller, Some(other.address)), unlisted);
+    assert_eq!(decide(&other, caller, None), unlisted);
+}
