--- /dev/null
+++ b/crates/anvilhub-coord/src/gather/answer_gather.rs
@@ -0,0 +1,312 @@
+use crate::border::query::RowEntry;
+use crate::border::upstream::SubAnswer;
+use crate::ids::{RequestId, SnapshotId};
+use crate::keyspace::{KeyRange, RangeSet};
+use crate::mutation;
+
+use super::pending_requests::PendingRequests;
+use super::{
+    AnswerFault, CoverageReport, GatherLimits, GatheredAnswer, MissingRange, MissingReason, Result,
+};
+
+/// Gathers the sub-answers to one request.
+///
+/// [`AnswerGather::pin`] sets the snapshot, [`AnswerGather::expect`] registers each sub-request before it is
+/// sent, and [`AnswerGather::accept`] or [`AnswerGather::fail`] ends it.
+#[derive(Debug)]
+pub struct AnswerGather {
+    asked: KeyRange,
+    limits: GatherLimits,
+    snapshot: Option<SnapshotId>,
+    pending: PendingRequests,
+    covered: RangeSet,
+    rows: Vec<RowEntry>,
+    bytes: usize,
+    /// Why ranges are missing, the latest reason last.
+    failures: Vec<MissingRange>,
+    /// Ranges that were handed out after a repartition.
+    asked_again: RangeSet,
+}
+
+impl AnswerGather {
+    /// Starts gathering the answer over `asked`.
+    pub fn new(asked: KeyRange, limits: GatherLimits) -> Self {
+        Self {
+            asked,
+            limits,
+            snapshot: None,
+            pending: PendingRequests::default(),
+            covered: RangeSet::default(),
+            rows: Vec::new(),
+            bytes: 0,
+            failures: Vec::new(),
+            asked_again: RangeSet::default(),
+        }
+    }
+
+    /// The range that the request asks for.
+    pub fn asked(&self) -> KeyRange {
+        self.asked
+    }
+
+    /// The snapshot that the answer comes from, once chosen or fixed by the first sub-answer.
+    pub fn snapshot(&self) -> Option<SnapshotId> {
+        self.snapshot
+    }
+
+    /// Fixes the answer's snapshot and returns the sub-requests to cancel.
+    ///
+    /// Another snapshot than the present one discards what was gathered and gives up what is awaited:
+    /// snapshots are never mixed.
+    pub fn pin(&mut self, snapshot: SnapshotId) -> Vec<RequestId> {
+        let previous = self.snapshot.replace(snapshot);
+        let is_same = previous.is_none_or(|previous| previous == snapshot);
+        if is_same || mutation::is_active("pin_keeps_rows") {
+            return Vec::new();
+        }
+        self.covered = RangeSet::default();
+        self.rows.clear();
+        self.bytes = 0;
+        self.asked_again = RangeSet::default();
+        let stale: Vec<_> = self.pending.awaited().map(|(id, _)| id.clone()).collect();
+        for id in &stale {
+            self.fail(id, MissingReason::SnapshotUnavailable);
+        }
+        self.note_missing(self.asked, MissingReason::SnapshotUnavailable);
+        stale
+    }
+
+    /// Registers the sub-request `id` for `range`. Every sub-request, hedges too, has an id of its own.
+    pub fn expect(&mut self, id: RequestId, range: KeyRange) {
+        self.pending.insert(id, range.intersect(self.asked));
+    }
+
+    /// Takes the answer that arrived for the sub-request `id`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an answer that names another sub-request, arrives twice or late, comes from another
+    /// snapshot, claims keys that were not asked, or exceeds a bound. The range stays missing then. After
+    /// [`AnswerFault::OtherRequest`] the sub-request is over as well: its connection has to be closed.
+    pub fn accept(&mut self, id: &RequestId, answer: SubAnswer) -> Result<()> {
+        let awaited = self.pending.answer(id);
+        if let Err(fault) = check_request(id, &answer) {
+            if let Ok(range) = awaited {
+                self.note_missing(range, fault.missing_reason());
+            }
+            return Err(fault);
+        }
+        let range = awaited?;
+        let searched = KeyRange::new(answer.start, answer.end);
+        if let Err(fault) = self.check(range, &answer) {
+            self.note_missing(range, fault.missing_reason());
+            return Err(fault);
+        }
+        self.snapshot.get_or_insert(answer.snapshot);
+        self.keep(searched, answer.rows);
+        let counted = match mutation::is_active("asked_counts_as_covered") {
+            true => range,
+            false => searched,
+        };
+        self.covered.insert(counted);
+        self.note_unsearched(range, searched);
+        Ok(())
+    }
+
+    /// Ends the sub-request `id` without an answer.
+    pub fn fail(&mut self, id: &RequestId, reason: MissingReason) {
+        if let Some(range) = self.pending.give_up(id) {
+            self.note_missing(range, reason);
+        }
+    }
+
+    /// Records why `range` cannot be asked for, such as a shard without a replica.
+    pub fn note_missing(&mut self, range: KeyRange, reason: MissingReason) {
+        let range = range.intersect(self.asked);
+        if !range.is_empty() {
+            self.failures.push(MissingRange { range, reason });
+        }
+    }
+
+    /// The uncovered keys that no awaited sub-request covers.
+    pub fn gaps(&self) -> RangeSet {
+        let mut gaps = self.covered.gaps_in(self.asked);
+        for (_, range) in self.pending.awaited() {
+            gaps.remove(range);
+        }
+        gaps
+    }
+
+    /// Hands out the gaps that a repartition left, each key once for a snapshot. The caller asks any
+    /// upstream of the service whose last reported range covers them.
+    pub fn take_repartitioned(&mut self) -> RangeSet {
+        let mut gaps = self.gaps();
+        for &range in self.asked_again.ranges() {
+            gaps.remove(range);
+        }
+        let repartitioned: RangeSet = self
+            .explain(gaps)
+            .into_iter()
+            .filter(|missing| missing.reason == MissingReason::Repartitioned)
+            .map(|missing| missing.range)
+            .collect();
+        for &range in repartitioned.ranges() {
+            self.asked_again.insert(range);
+        }
+        repartitioned
+    }
+
+    /// Says whether every asked key is covered.
+    pub fn is_complete(&self) -> bool {
+        self.covered.covers(self.asked)
+    }
+
+    /// Says whether no sub-request is awaited.
+    pub fn is_idle(&self) -> bool {
+        self.pending.awaited().next().is_none()
+    }
+
+    /// The sub-requests that are still awaited, to cancel when the answer goes out without them.
+    pub fn awaited(&self) -> impl Iterator<Item = &RequestId> {
+        self.pending.awaited().map(|(id, _)| id)
+    }
+
+    /// What the answer covers at present. Awaited sub-requests count as `timeout`.
+    pub fn report(&self) -> CoverageReport {
+        let missing = match mutation::is_active("gaps_unnamed") {
+            true => Vec::new(),
+            false => self.explain(self.covered.gaps_in(self.asked)),
+        };
+        CoverageReport::new(self.asked, &self.covered, missing)
+    }
+
+    /// Ends gathering. Answers that arrive from now on have nothing to be accepted by.
+    pub fn finish(mut self) -> GatheredAnswer {
+        let coverage = self.report();
+        self.rows.sort_by_key(|row| row.key);
+        GatheredAnswer {
+            snapshot: self.snapshot,
+            rows: self.rows,
+            coverage,
+        }
+    }
+
+    fn check(&self, range: KeyRange, answer: &SubAnswer) -> Result<()> {
+        self.check_range(range, KeyRange::new(answer.start, answer.end))?;
+        self.check_snapshot(answer.snapshot)?;
+        self.check_size(answer)
+    }
+
+    /// An empty range is fine: the upstream owns none of the asked keys any more.
+    fn check_range(&self, asked: KeyRange, found: KeyRange) -> Result<()> {
+        let is_fine = found.start <= found.end && asked.covers(found);
+        match is_fine || mutation::is_active("any_range_counts") {
+            true => Ok(()),
+            false => Err(AnswerFault::OutOfRange { asked, found }),
+        }
+    }
+
+    fn check_snapshot(&self, found: SnapshotId) -> Result<()> {
+        match self.snapshot {
+            Some(pinned) if pinned != found && !mutation::is_active("snapshots_mixed") => {
+                Err(AnswerFault::WrongSnapshot { pinned, found })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_size(&self, answer: &SubAnswer) -> Result<()> {
+        let GatherLimits {
+            max_rows,
+            max_bytes,
+        } = self.limits;
+        if self.rows.len() + answer.rows.len() > max_rows {
+            return Err(AnswerFault::Oversized {
+                limit: max_rows as u64,
+                unit: "rows",
+            });
+        }
+        let bytes: usize = answer.rows.iter().map(|row| row.value.len()).sum();
+        match self.bytes + bytes > max_bytes {
+            true => Err(AnswerFault::Oversized {
+                limit: max_bytes as u64,
+                unit: "bytes",
+            }),
+            false => Ok(()),
+        }
+    }
+
+    /// Keeps the rows of newly covered keys: keys that two upstreams searched count once.
+    fn keep(&mut self, searched: KeyRange, rows: Vec<RowEntry>) {
+        let fresh = self.covered.gaps_in(searched);
+        let is_fresh = |row: &RowEntry| {
+            let mut ranges = fresh.ranges().iter();
+            ranges.any(|range| range.contains(row.key)) || mutation::is_active("overlap_repeats")
+        };
+        for row in rows.into_iter().filter(is_fresh) {
+            self.bytes += row.value.len();
+            self.rows.push(row);
+        }
+    }
+
+    fn note_unsearched(&mut self, asked: KeyRange, searched: KeyRange) {
+        let found: RangeSet = [searched].into_iter().collect();
+        for &range in found.gaps_in(asked).ranges() {
+            self.note_missing(range, MissingReason::Repartitioned);
+        }
+    }
+
+    /// Gives each missing range its latest reason.
+    fn explain(&self, mut missing: RangeSet) -> Vec<MissingRange> {
+        let mut explained = Vec::new();
+        let awaited = self.pending.awaited().map(|(_, range)| MissingRange {
+            range,
+            reason: MissingReason::Timeout,
+        });
+        let unasked = MissingRange {
+            range: self.asked,
+            reason: MissingReason::NoReplica,
+        };
+        let failures = self.failures.iter().rev().copied();
+        for cause in awaited.chain(failures).chain([unasked]) {
+            let parts = missing.ranges().iter();
+            let parts: Vec<_> = parts
+                .map(|part| part.intersect(cause.range))
+                .filter(|part| !part.is_empty())
+                .collect();
+            for range in parts {
+                missing.remove(range);
+                explained.push(MissingRange { range, ..cause });
+            }
+        }
+        explained.sort_by_key(|missing| missing.range);
+        merge_neighbours(explained)
+    }
+}
+
+fn check_request(asked: &RequestId, answer: &SubAnswer) -> Result<()> {
+    let is_other = answer.request_id != *asked;
+    match is_other && !mutation::is_active("crossed_answer_accepted") {
+        true => Err(AnswerFault::OtherRequest {
+            asked: asked.clone(),
+            found: answer.request_id.clone(),
+        }),
+        false => Ok(()),
+    }
+}
+
+/// Joins ranges that touch and have one reason.
+fn merge_neighbours(sorted: Vec<MissingRange>) -> Vec<MissingRange> {
+    let mut merged: Vec<MissingRange> = Vec::with_capacity(sorted.len());
+    for missing in sorted {
+        match merged.last_mut() {
+            Some(last)
+                if last.range.end == missing.range.start && last.reason == missing.reason =>
+            {
+                last.range.end = missing.range.end;
+            }
+            _ => merged.push(missing),
+        }
+    }
+    merged
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/gather/gathered_answer.rs
@@ -0,0 +1,15 @@
+use crate::border::query::RowEntry;
+use crate::ids::SnapshotId;
+
+use super::CoverageReport;
+
+/// The whole answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatheredAnswer {
+    /// Snapshot that every row comes from; absent when nothing is covered and none was chosen.
+    pub snapshot: Option<SnapshotId>,
+    /// The rows in ascending order of their keys.
+    pub rows: Vec<RowEntry>,
+    /// What the rows cover.
+    pub coverage: CoverageReport,
+}
--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O or reads a clock: time, randomness and observations are arguments.
 
 pub mod border;
+pub mod gather;
 pub mod ids;
 pub mod keyspace;
 pub mod mutation;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/answer_gather.rs
@@ -0,0 +1,214 @@
+//! Guards against mixed snapshots, coverage above the truth, and answers to other requests.
+
+use anvilhub_coord::border::query::RowEntry;
+use anvilhub_coord::border::upstream::SubAnswer;
+use anvilhub_coord::gather::{
+    AnswerFault, AnswerGather, GatherLimits, MissingReason, ReplicaHolding, ShardHolding,
+    SnapshotChooser, SnapshotPlan,
+};
+use anvilhub_coord::ids::{RequestId, SnapshotId};
+use anvilhub_coord::keyspace::KeyRange;
+
+fn id(text: &str) -> RequestId {
+    text.parse().unwrap()
+}
+
+/// An answer to `request` from snapshot 1 over `start..end`, with a row for each of `keys`.
+fn answer(request: &str, start: u64, end: u64, keys: &[u64]) -> SubAnswer {
+    SubAnswer {
+        request_id: id(request),
+        snapshot: SnapshotId(1),
+        start,
+        end,
+        rows: keys
+            .iter()
+            .map(|&key| RowEntry {
+                key,
+                value: format!("{request}/{key}"),
+            })
+            .collect(),
+        held: Vec::new(),
+        draining: false,
+        in_flight: None,
+    }
+}
+
+/// A gather over `0..20` at snapshot 1 that awaits `a` for `0..10` and `b` for `10..20`.
+fn gather(limits: GatherLimits) -> AnswerGather {
+    let mut gather = AnswerGather::new(KeyRange::new(0, 20), limits);
+    gather.pin(SnapshotId(1));
+    gather.expect(id("a"), KeyRange::new(0, 10));
+    gather.expect(id("b"), KeyRange::new(10, 20));
+    gather
+}
+
+fn keys(gather: AnswerGather) -> Vec<u64> {
+    gather.finish().rows.iter().map(|row| row.key).collect()
+}
+
+#[test]
+fn union_is_complete() {
+    let mut gather = gather(GatherLimits::default());
+    gather.accept(&id("b"), answer("b", 10, 20, &[12])).unwrap();
+    assert!(!gather.is_complete());
+    gather
+        .accept(&id("a"), answer("a", 0, 10, &[3, 15]))
+        .unwrap();
+
+    assert!(gather.report().complete);
+    assert_eq!(keys(gather), [3, 12], "row 15 is outside the asked range");
+}
+
+#[test]
+fn faults_are_typed() {
+    let other_snapshot = SubAnswer {
+        snapshot: SnapshotId(2),
+        ..answer("a", 0, 10, &[])
+    };
+    let cases = [
+        (answer("b", 0, 10, &[]), "came for"),
+        (answer("a", 0, 11, &[]), "claims 0..11"),
+        (answer("a", 9, 3, &[]), "claims 9..3"),
+        (answer("a", 0, 10, &[1, 2, 3]), "bound of 2 rows"),
+        (other_snapshot, "snapshot 2 instead of 1"),
+    ];
+    for (answer, expected) in cases {
+        let mut gather = gather(GatherLimits {
+            max_rows: 2,
+            ..GatherLimits::default()
+        });
+        let fault = gather.accept(&id("a"), answer.clone()).unwrap_err();
+        assert!(fault.to_string().contains(expected), "{fault}");
+        let report = gather.report();
+        assert_eq!(report.fraction, 0.0, "{fault}");
+        assert_ne!(report.missing[0].reason, MissingReason::Timeout, "{fault}");
+    }
+}
+
+#[test]
+fn repeats_are_refused() {
+    let mut gather = gather(GatherLimits::default());
+    gather.accept(&id("a"), answer("a", 0, 10, &[1])).unwrap();
+    gather.fail(&id("b"), MissingReason::Timeout);
+
+    let twice = gather.accept(&id("a"), answer("a", 0, 10, &[1]));
+    assert_eq!(twice, Err(AnswerFault::Duplicate { request: id("a") }));
+    let late = gather.accept(&id("b"), answer("b", 10, 20, &[11]));
+    assert_eq!(late, Err(AnswerFault::Late { request: id("b") }));
+    assert_eq!(keys(gather), [1]);
+}
+
+#[test]
+fn overlap_counts_once() {
+    let mut gather = gather(GatherLimits::default());
+    gather.expect(id("hedge"), KeyRange::new(0, 10));
+    gather.accept(&id("a"), answer("a", 0, 6, &[1, 5])).unwrap();
+    gather
+        .accept(&id("hedge"), answer("hedge", 4, 10, &[5, 9]))
+        .unwrap();
+
+    assert_eq!(keys(gather), [1, 5, 9]);
+}
+
+#[test]
+fn repartition_asks_once() {
+    let mut gather = gather(GatherLimits::default());
+    gather.accept(&id("a"), answer("a", 0, 7, &[])).unwrap();
+    gather.accept(&id("b"), answer("b", 10, 10, &[])).unwrap();
+    let moved = [KeyRange::new(7, 20)];
+    assert_eq!(gather.take_repartitioned().ranges(), moved);
+    assert!(gather.take_repartitioned().is_empty());
+
+    gather.expect(id("c"), moved[0]);
+    gather.accept(&id("c"), answer("c", 7, 15, &[])).unwrap();
+    assert!(gather.take_repartitioned().is_empty());
+    let report = gather.report();
+    assert_eq!(report.missing[0].to_string(), "15..20 repartitioned");
+    assert_eq!(report.fraction, 0.75);
+}
+
+#[test]
+fn new_snapshot_discards() {
+    let mut gather = gather(GatherLimits::default());
+    gather.accept(&id("a"), answer("a", 0, 10, &[1])).unwrap();
+
+    assert_eq!(gather.pin(SnapshotId(2)), [id("b")]);
+    assert_eq!(gather.gaps().ranges(), [KeyRange::new(0, 20)]);
+    let answer = gather.finish();
+    assert!(answer.rows.is_empty());
+    let missing = answer.coverage.missing[0].to_string();
+    assert_eq!(missing, "0..20 snapshot_unavailable");
+}
+
+/// Shards of ten keys each. Each replica is written as its held snapshots, `?` for unknown.
+fn chooser(shards: &[&[&str]]) -> SnapshotChooser {
+    let replica = |shard: usize, index: usize, held: &str| ReplicaHolding {
+        upstream: format!("u{shard}{index}").parse().unwrap(),
+        held: match held {
+            "?" => None,
+            list => Some(
+                list.split_whitespace()
+                    .map(|id| id.parse().unwrap())
+                    .collect(),
+            ),
+        },
+    };
+    let shards = shards.iter().enumerate().map(|(shard, replicas)| {
+        let start = shard as u64 * 10;
+        ShardHolding {
+            range: KeyRange::new(start, start + 10),
+            replicas: (replicas.iter().enumerate())
+                .map(|(index, held)| replica(shard, index, held))
+                .collect(),
+        }
+    });
+    SnapshotChooser::new(KeyRange::new(0, 30), shards.collect())
+}
+
+fn show(plan: &SnapshotPlan) -> String {
+    let shards = plan.shards.iter().map(|shard| {
+        let replicas: Vec<_> = shard.replicas.iter().map(ToString::to_string).collect();
+        let reason = shard.unserved.map(|reason| reason.to_string());
+        reason.unwrap_or(replicas.join(" "))
+    });
+    let snapshot = plan.snapshot.map_or("any".to_owned(), |id| id.to_string());
+    let shards: Vec<_> = shards.collect();
+    format!("{snapshot}: {}", shards.join(", "))
+}
+
+#[test]
+fn choice_follows_holdings() {
+    let cases: [(&[&[&str]], &str); 8] = [
+        (&[&["5"], &["5"], &["5"]], "5: u00, u10, u20"),
+        // Replicas move at different times: the older snapshot is complete.
+        (&[&["6", "5"], &["6"], &["5", "5 6"]], "6: u00, u10, u21"),
+        (&[&["6", "5"], &["5"], &["5"]], "5: u01, u10, u20"),
+        // Two held everywhere: the newest.
+        (&[&["5 6"], &["5 6"], &["6 5"]], "6: u00, u10, u20"),
+        // Rollback: most dropped 6 again.
+        (&[&["5"], &["5"], &["5 6"]], "5: u00, u10, u20"),
+        // Unknown holdings count as holding; a known holder is asked first.
+        (&[&["?", "5"], &["?"], &["5"]], "5: u01 u00, u10, u20"),
+        (
+            &[&["5"], &["5"], &["6"]],
+            "5: u00, u10, snapshot_unavailable",
+        ),
+        (&[&["?"], &[], &["?"]], "any: u00, no_replica, u20"),
+    ];
+    for (shards, expected) in cases {
+        assert_eq!(show(&chooser(shards).choose()), expected);
+    }
+}
+
+#[test]
+fn choice_repeats_twice() {
+    let mut chooser = chooser(&[&["?"], &["7"], &["6 7"]]);
+    assert_eq!(show(&chooser.choose()), "7: u00, u10, u20");
+
+    chooser.record_held(&"u00".parse().unwrap(), &[SnapshotId(6)]);
+    chooser.record_held(&"u10".parse().unwrap(), &[SnapshotId(6)]);
+    let plan = chooser.choose_again().unwrap();
+    assert_eq!(show(&plan), "6: u00, u10, u20");
+    assert!(chooser.choose_again().is_some());
+    assert!(chooser.choose_again().is_none());
+}
