Add routing, admission and connection decisions

Cause: the daemon needs the interfaces of replica choice, hedges, retries, slot queues, admission and connections before its fan-out can be written. Change: first versions of UpstreamView, ReplicaPicker, HedgePolicy, RetryBudget, SlotQueue, AttemptRule, EjectionPolicy, OwnerHealth, AdmissionGate, WaitEstimate, ConnectionLedger and ConnectionShare. Ruled out: a token bucket with a fixed cap, because tokens of a demand peak could be spent after it.

--- /dev/null
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -0,0 +1,244 @@
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::routing::{Displaced, UrgencyQueue};
+use crate::sheet::UrgencyClass;
+use crate::time::ClockTime;
+
+use super::{AdaptiveLimit, WaitEstimate};
+
+/// Sizes of an `AdmissionGate`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// Requests that may wait.
+    pub queue_capacity: usize,
+    /// Requests that run at once at the start: this instance's share of the slots.
+    pub initial_limit: u32,
+    /// Lowest limit; keeps goodput above zero and lets the limit recover.
+    pub least_limit: u32,
+    /// Highest limit.
+    pub greatest_limit: u32,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            queue_capacity: 256,
+            initial_limit: 4,
+            least_limit: 2,
+            greatest_limit: 256,
+        }
+    }
+}
+
+/// Why a request was refused as `not_run`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
+pub enum RefusalReason {
+    /// Estimated wait and usual service time exceed the remaining time.
+    #[display("too_late")]
+    TooLate,
+    /// The deadline passed while the request waited.
+    #[display("expired")]
+    Expired,
+    /// The queue is full of requests that are at least as urgent.
+    #[display("queue_full")]
+    QueueFull,
+    /// A more urgent request took its place in the queue.
+    #[display("shed")]
+    Shed,
+}
+
+/// A request that was never started and is handed back: answering `not_run` is true.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal<T> {
+    /// The request.
+    pub item: T,
+    /// Why it is refused.
+    pub reason: RefusalReason,
+    /// Wait that was expected, for the answer's remedy.
+    pub estimated_wait: Duration,
+}
+
+/// What happens to an arriving request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionVerdict<T> {
+    /// Run it now and call `finish` at its end.
+    Start(T),
+    /// It waits and leaves by `finish`, `advance`, `withdraw` or as shed by a later arrival.
+    Queued,
+    /// Answer `not_run`.
+    Refused(Refusal<T>),
+}
+
+/// Verdict on an arrival and the request it displaced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionArrival<T> {
+    /// What happens to the arriving request.
+    pub verdict: AdmissionVerdict<T>,
+    /// A less urgent request that lost its place: answer `not_run`.
+    pub shed: Option<Refusal<T>>,
+}
+
+/// Requests that leave the queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionRelease<T> {
+    /// Run these now.
+    pub start: Vec<T>,
+    /// Answer `not_run` to these.
+    pub refused: Vec<Refusal<T>>,
+}
+
+/// The bounded queue of one service in one instance.
+///
+/// Items move in once and out once, so a refused item cannot also be started.
+#[derive(Clone, Debug)]
+pub struct AdmissionGate<T> {
+    limit: AdaptiveLimit,
+    wait: WaitEstimate,
+    running: u32,
+    queue: UrgencyQueue<T>,
+}
+
+impl<T> AdmissionGate<T> {
+    /// An empty gate.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            limit: AdaptiveLimit::new(
+                settings.initial_limit,
+                settings.least_limit,
+                settings.greatest_limit,
+            ),
+            wait: WaitEstimate::default(),
+            running: 0,
+            queue: UrgencyQueue::new(settings.queue_capacity),
+        }
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Present concurrency limit.
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
+    }
+
+    /// Usual time between admission and answer.
+    pub fn usual_service(&self) -> Duration {
+        self.wait.usual_service()
+    }
+
+    /// Decides on a request that arrives at `now`.
+    pub fn arrive(
+        &mut self,
+        now: ClockTime,
+        urgency: UrgencyClass,
+        deadline: ClockTime,
+        item: T,
+    ) -> AdmissionArrival<T> {
+        let free = self.running < self.limit.get() && self.queue.len() == 0;
+        let estimated_wait = match free {
+            true => Duration::ZERO,
+            false => {
+                let ahead = self.queue.ahead_of(urgency, deadline);
+                self.wait.wait(ahead, self.limit.get())
+            }
+        };
+        if now + estimated_wait + self.wait.usual_service() >= deadline {
+            return AdmissionArrival {
+                verdict: AdmissionVerdict::Refused(Refusal {
+                    item,
+                    reason: RefusalReason::TooLate,
+                    estimated_wait,
+                }),
+                shed: None,
+            };
+        }
+        if free {
+            self.running += 1;
+            return AdmissionArrival {
+                verdict: AdmissionVerdict::Start(item),
+                shed: None,
+            };
+        }
+        self.limit.note_waiting();
+        self.enqueue(urgency, deadline, item, estimated_wait)
+    }
+
+    /// Counts the end of a request that was started and hands out waiting ones.
+    ///
+    /// `service_time` is the time since its start, also when it ended without an answer.
+    pub fn finish(&mut self, now: ClockTime, service_time: Duration) -> AdmissionRelease<T> {
+        self.running = self.running.saturating_sub(1);
+        self.wait.record(service_time);
+        self.limit.record(now, service_time);
+        self.advance(now)
+    }
+
+    /// Hands out what `now` allows. Call it a few times per second even when nothing finishes.
+    pub fn advance(&mut self, now: ClockTime) -> AdmissionRelease<T> {
+        let usual = self.wait.usual_service();
+        let refused = self
+            .queue
+            .expire(now + usual)
+            .into_iter()
+            .map(|item| Refusal {
+                item,
+                reason: RefusalReason::Expired,
+                estimated_wait: usual,
+            })
+            .collect();
+        let mut start = Vec::new();
+        while self.running < self.limit.get() {
+            let Some((item, _)) = self.queue.pop() else {
+                break;
+            };
+            self.running += 1;
+            start.push(item);
+        }
+        AdmissionRelease { start, refused }
+    }
+
+    /// Removes waiting requests, such as those whose caller disconnected.
+    pub fn withdraw(&mut self, matches: impl FnMut(&T) -> bool) -> Vec<T> {
+        self.queue.withdraw(matches)
+    }
+
+    fn enqueue(
+        &mut self,
+        urgency: UrgencyClass,
+        deadline: ClockTime,
+        item: T,
+        estimated_wait: Duration,
+    ) -> AdmissionArrival<T> {
+        match self.queue.push(urgency, deadline, item) {
+            None => AdmissionArrival {
+                verdict: AdmissionVerdict::Queued,
+                shed: None,
+            },
+            Some((item, Displaced::Waiting)) => AdmissionArrival {
+                verdict: AdmissionVerdict::Queued,
+                shed: Some(Refusal {
+                    item,
+                    reason: RefusalReason::Shed,
+                    estimated_wait,
+                }),
+            },
+            Some((item, Displaced::Arrival)) => AdmissionArrival {
+                verdict: AdmissionVerdict::Refused(Refusal {
+                    item,
+                    reason: RefusalReason::QueueFull,
+                    estimated_wait,
+                }),
+                shed: None,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/admission/mod.rs
@@ -0,0 +1,12 @@
+//! Admission of callers' requests: bounded queue, adaptive limit, early refusal.
+
+mod adaptive_limit;
+mod admission_gate;
+mod wait_estimate;
+
+pub use adaptive_limit::AdaptiveLimit;
+pub use admission_gate::{
+    AdmissionArrival, AdmissionGate, AdmissionRelease, AdmissionSettings, AdmissionVerdict,
+    Refusal, RefusalReason,
+};
+pub use wait_estimate::WaitEstimate;
--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -2,9 +2,12 @@
 //!
 //! Nothing here does I/O or reads a clock: time, randomness and observations are arguments.
 
+pub mod admission;
 pub mod border;
+pub mod connection;
 pub mod ids;
 pub mod keyspace;
 pub mod mutation;
+pub mod routing;
 pub mod sheet;
 pub mod time;
--- /dev/null
+++ b/crates/anvilhub-coord/src/routing/mod.rs
@@ -0,0 +1,30 @@
+//! Choice of replicas, hedges, retries and queues in front of slots.
+
+mod attempt_rule;
+mod attempt_state;
+mod ejection_policy;
+mod hedge_policy;
+mod latency_window;
+mod owner_health;
+mod replica_picker;
+mod retry_budget;
+mod slot_queue;
+mod upstream_load;
+mod upstream_view;
+mod urgency_queue;
+
+pub use attempt_rule::{AttemptKind, AttemptRule, AttemptVerdict, ForbiddenReason};
+pub use attempt_state::{AttemptOutcome, AttemptState};
+pub use ejection_policy::{EjectionCandidate, EjectionPolicy};
+pub use hedge_policy::HedgePolicy;
+pub use latency_window::LatencyWindow;
+pub use owner_health::OwnerHealth;
+pub use replica_picker::{PickError, PickReason, ReplicaChoice, ReplicaPicker};
+pub use retry_budget::RetryBudget;
+pub use slot_queue::{SlotOffer, SlotQueue, SlotRelease};
+pub use upstream_load::{ReplicaCandidate, UpstreamLoad};
+pub use upstream_view::{LeavingSignal, LoadReport, UpstreamView};
+pub(crate) use urgency_queue::{Displaced, UrgencyQueue};
+
+/// Result of a replica choice.
+pub type Result<T, E = PickError> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/anvilhub-coord/src/routing/upstream_load.rs
@@ -0,0 +1,25 @@
+use std::time::Duration;
+
+/// A copy of what an `UpstreamView` says at one time, to compare replicas without holding their locks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UpstreamLoad {
+    /// Sub-requests of this instance in flight.
+    pub in_flight: u32,
+    /// Expected time until a sub-request sent now is answered.
+    pub expected: Duration,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Whether it is temporarily ejected.
+    pub ejected: bool,
+}
+
+/// One replica of a shard as a candidate for an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReplicaCandidate {
+    /// Copy of the replica's view.
+    pub load: UpstreamLoad,
+    /// Whether the replica is in the failure domain of this instance.
+    pub same_domain: bool,
+    /// Whether an earlier attempt of the sub-request went to this replica.
+    pub tried: bool,
+}
