Add stand-ins of the platform and the upstreams

Cause: tests and the load tool need a configuration service, an instance list and upstreams that can be told to fail, and no third-party server may play them.

Change: `anvilhub-standin platform` serves the sheet and the instance list with watches, a call limit over all readers, pinned older revisions, a lagging list and two kinds of outage. Commands come by `POST /control` or by `--command` at the start.

Ruled out: oxhttp's server for the upstreams. It gives no access to its connections and cannot be stopped, which limits, silence and death need, so they run hyper's connection API on tokio. A relay in front of oxhttp would need three threads for each of some 3,400 connections of a deployment. A watch whose time passes answers 200 with the visible value, so that a reader also sees a platform that went backward.

--- /dev/null
+++ b/crates/anvilhub-dev/src/bin/anvilhub-standin.rs
@@ -0,0 +1,147 @@
+//! Runs a stand-in of the platform or of the upstreams of a sheet.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use anvilhub_coord::border::platform::InstanceEntry;
+use anvilhub_coord::sheet::CheckedSheet;
+use anvilhub_dev::standin::platform::{PlatformCommand, PlatformServer};
+use anvilhub_dev::standin::upstream::{FleetCommand, UpstreamFleet};
+use eyre::{Result, WrapErr, bail, eyre};
+use lexopt::{Arg, Parser, ValueExt};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+const HELP: &str = "\
+Stand-ins for tests of anvilhub. Each listens until it is killed.
+
+anvilhub-standin platform --listen IP:PORT --sheet FILE [--instances FILE] [--command JSON]..
+    Serves /config/sheet, /instances, /calls and /control.
+anvilhub-standin upstreams --sheet FILE [--control IP:PORT] [--threads N] [--command JSON]..
+    Starts every replica of the sheet. The control address serves /control, /effects and /requests.
+
+--command JSON   applies the body of a POST /control at the start
+--help           prints this text
+";
+
+/// Threads that serve the connections of all replicas.
+const DEFAULT_THREADS: usize = 2;
+
+/// The command line.
+#[derive(Debug, Default)]
+struct StandinArguments {
+    mode: Option<String>,
+    listen: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    sheet: Option<PathBuf>,
+    instances: Option<PathBuf>,
+    threads: Option<usize>,
+    commands: Vec<String>,
+    wants_help: bool,
+}
+
+/// The instance list of a file; a revision may be present and is ignored.
+#[derive(Debug, Default, Deserialize)]
+struct InstanceFile {
+    instances: Vec<InstanceEntry>,
+}
+
+fn main() -> Result<()> {
+    let arguments = StandinArguments::parse(Parser::from_env())?;
+    if arguments.wants_help {
+        print!("{HELP}");
+        return Ok(());
+    }
+    match arguments.mode.as_deref() {
+        Some("platform") => run_platform(&arguments),
+        Some("upstreams") => run_upstreams(&arguments),
+        Some(other) => bail!("unknown stand-in `{other}`; see --help"),
+        None => bail!("no stand-in is named; see --help"),
+    }
+}
+
+impl StandinArguments {
+    fn parse(mut parser: Parser) -> Result<Self> {
+        let mut arguments = Self::default();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Arg::Long("help") => arguments.wants_help = true,
+                Arg::Long("listen") => arguments.listen = Some(parser.value()?.parse()?),
+                Arg::Long("control") => arguments.control = Some(parser.value()?.parse()?),
+                Arg::Long("sheet") => arguments.sheet = Some(parser.value()?.into()),
+                Arg::Long("instances") => arguments.instances = Some(parser.value()?.into()),
+                Arg::Long("threads") => arguments.threads = Some(parser.value()?.parse()?),
+                Arg::Long("command") => arguments.commands.push(parser.value()?.string()?),
+                Arg::Value(mode) if arguments.mode.is_none() => {
+                    arguments.mode = Some(mode.string()?);
+                }
+                other => return Err(other.unexpected().into()),
+            }
+        }
+        Ok(arguments)
+    }
+
+    fn commands<T: DeserializeOwned>(&self) -> Result<Vec<T>> {
+        let parse = |text: &String| {
+            serde_json::from_str(text).wrap_err_with(|| format!("bad --command {text}"))
+        };
+        self.commands.iter().map(parse).collect()
+    }
+}
+
+fn run_platform(arguments: &StandinArguments) -> Result<()> {
+    let listen = required(arguments.listen, "--listen")?;
+    let sheet = read_text(&required(arguments.sheet.clone(), "--sheet")?)?;
+    let list: InstanceFile = match &arguments.instances {
+        Some(path) => serde_json::from_str(&read_text(path)?)
+            .wrap_err_with(|| format!("{} is not an instance list", path.display()))?,
+        None => InstanceFile::default(),
+    };
+    let server = PlatformServer::new(sheet, list.instances)?;
+    for command in arguments.commands::<PlatformCommand>()? {
+        server.apply(command)?;
+    }
+    let listening = server.listen(listen)?;
+    eprintln!("platform stand-in listens on {listen}");
+    Ok(listening.join()?)
+}
+
+fn run_upstreams(arguments: &StandinArguments) -> Result<()> {
+    let path = required(arguments.sheet.clone(), "--sheet")?;
+    let sheet = CheckedSheet::from_bytes(read_text(&path)?.as_bytes()).map_err(|faults| {
+        eyre!(
+            "{}: {} faults, first: {}",
+            path.display(),
+            faults.len(),
+            faults[0]
+        )
+    })?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(arguments.threads.unwrap_or(DEFAULT_THREADS))
+        .enable_all()
+        .build()?;
+    let fleet = UpstreamFleet::new(&sheet, runtime.handle().clone());
+    for command in arguments.commands::<FleetCommand>()? {
+        fleet.apply(&command)?;
+    }
+    fleet.listen()?;
+    let control = arguments
+        .control
+        .map(|address| fleet.listen_control(address));
+    eprintln!("upstream stand-ins of {} listen", path.display());
+    match control {
+        Some(listening) => Ok(listening?.join()?),
+        None => loop {
+            std::thread::park();
+        },
+    }
+}
+
+fn required<T>(value: Option<T>, name: &str) -> Result<T> {
+    value.ok_or_else(|| eyre!("{name} is missing; see --help"))
+}
+
+fn read_text(path: &Path) -> Result<String> {
+    fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))
+}
--- /dev/null
+++ b/crates/anvilhub-dev/src/standin/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-ins of the platform, the upstreams and the network between two processes.
+
+mod http_reply;
+pub mod platform;
+pub mod upstream;
--- /dev/null
+++ b/crates/anvilhub-dev/src/standin/platform/call_limiter.rs
@@ -0,0 +1,63 @@
+use std::time::Instant;
+
+use anvilhub_coord::ids::CallRate;
+use serde::Serialize;
+
+/// Calls that the platform answers per second, over all readers.
+pub(crate) const DEFAULT_CALL_RATE: CallRate = CallRate(2_000.0);
+
+/// Token bucket over all readers; it holds the calls of one second.
+#[derive(Debug)]
+pub(crate) struct CallLimiter {
+    rate: CallRate,
+    tokens: f64,
+    refilled_at: Instant,
+    counts: CallCounts,
+}
+
+/// Calls since the start. A waiting watch is one call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct CallCounts {
+    pub(crate) admitted: u64,
+    pub(crate) limited: u64,
+}
+
+impl CallLimiter {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            rate: DEFAULT_CALL_RATE,
+            tokens: DEFAULT_CALL_RATE.0,
+            refilled_at: now,
+            counts: CallCounts::default(),
+        }
+    }
+
+    /// Counts a call and says whether it is within the limit.
+    pub(crate) fn admit(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        let refilled = self.tokens + elapsed.as_secs_f64() * self.rate.0;
+        self.tokens = refilled.min(self.capacity());
+        self.refilled_at = now;
+        if self.tokens < 1.0 {
+            self.counts.limited += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        self.counts.admitted += 1;
+        true
+    }
+
+    pub(crate) fn set_rate(&mut self, rate: CallRate) {
+        self.rate = rate;
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    pub(crate) fn counts(&self) -> CallCounts {
+        self.counts
+    }
+
+    /// At least one token, so that a rate below one call per second admits calls at all.
+    fn capacity(&self) -> f64 {
+        self.rate.0.max(1.0)
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-dev/src/standin/platform/platform_server.rs
@@ -0,0 +1,182 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use anvilhub_coord::border::platform::{ConfigValue, InstanceEntry, InstanceList};
+use anvilhub_coord::ids::{ByteSize, PlatformRevision};
+use eyre::{Result, WrapErr, ensure};
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use oxhttp::{ListeningServer, Server};
+
+use super::call_limiter::CallLimiter;
+use super::watched_value::WatchedValue;
+use super::{DownMode, PlatformCommand};
+use crate::standin::http_reply::{error_reply, json_reply, query_number, read_json};
+
+/// Largest value that the configuration service holds, in bytes.
+const MAX_VALUE_BYTES: ByteSize = ByteSize(1 << 20);
+/// Longest wait of one watch.
+const MAX_WATCH: Duration = Duration::from_secs(60);
+/// Longest time that a call hangs while the platform is down. Bounds the threads that wait.
+const MAX_HANG: Duration = Duration::from_secs(300);
+
+/// The configuration service and the instance list, served over HTTP.
+#[derive(Debug)]
+pub struct PlatformServer {
+    sheet: WatchedValue<String>,
+    instances: WatchedValue<Vec<InstanceEntry>>,
+    limiter: Mutex<CallLimiter>,
+    down: Mutex<DownMode>,
+    down_changed: Condvar,
+}
+
+impl PlatformServer {
+    /// Starts with a sheet and an instance list, each at revision 1.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the sheet is larger than 1 MB.
+    pub fn new(sheet: String, instances: Vec<InstanceEntry>) -> Result<Arc<Self>> {
+        check_size(&sheet)?;
+        Ok(Arc::new(Self {
+            sheet: WatchedValue::new(sheet),
+            instances: WatchedValue::new(instances),
+            limiter: Mutex::new(CallLimiter::new(Instant::now())),
+            down: Mutex::default(),
+            down_changed: Condvar::new(),
+        }))
+    }
+
+    /// Listens on `address` with a thread for each connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is in use.
+    pub fn listen(self: &Arc<Self>, address: SocketAddr) -> Result<ListeningServer> {
+        let server = Arc::clone(self);
+        Server::new(move |request| server.handle(request))
+            .bind(address)
+            .spawn()
+            .wrap_err_with(|| format!("cannot listen on {address}; choose a free port"))
+    }
+
+    /// Applies a command.
+    ///
+    /// # Errors
+    ///
+    /// Fails, with nothing changed, when the sheet to publish is larger than 1 MB.
+    pub fn apply(&self, command: PlatformCommand) -> Result<()> {
+        if let Some(sheet) = command.publish_sheet {
+            check_size(&sheet)?;
+            self.sheet.publish(sheet);
+        }
+        if let Some(instances) = command.publish_instances {
+            self.instances.publish(instances);
+        }
+        if let Some(revision) = command.serve_sheet_revision {
+            self.sheet.pin(revision);
+        }
+        if let Some(revision) = command.serve_instances_revision {
+            self.instances.pin(revision);
+        }
+        if let Some(millis) = command.instances_lag_ms {
+            self.instances.set_lag(Duration::from_millis(millis));
+        }
+        if let Some(rate) = command.call_rate {
+            self.limiter().set_rate(rate);
+        }
+        if let Some(mode) = command.down {
+            *self.down.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+            self.down_changed.notify_all();
+        }
+        Ok(())
+    }
+
+    fn handle(&self, request: &mut Request<Body>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/control") => self.control(request),
+            (&Method::GET, "/calls") => json_reply(StatusCode::OK, &self.limiter().counts()),
+            (&Method::GET, "/config/sheet" | "/instances") => self.read(request, &path),
+            _ => error_reply(StatusCode::NOT_FOUND, "no such endpoint of the platform"),
+        }
+    }
+
+    fn control(&self, request: &mut Request<Body>) -> Response<Body> {
+        let command = match read_json(request) {
+            Ok(command) => command,
+            Err(error) => return error_reply(StatusCode::BAD_REQUEST, format!("{error:#}")),
+        };
+        match self.apply(command) {
+            Ok(()) => json_reply(StatusCode::OK, &serde_json::json!({ "changed": 1 })),
+            Err(error) => error_reply(StatusCode::PAYLOAD_TOO_LARGE, error),
+        }
+    }
+
+    fn read(&self, request: &Request<Body>, path: &str) -> Response<Body> {
+        if !self.limiter().admit(Instant::now()) {
+            return error_reply(StatusCode::TOO_MANY_REQUESTS, "call limit exceeded");
+        }
+        if self.wait_while_hung() == DownMode::Refuse {
+            return error_reply(StatusCode::SERVICE_UNAVAILABLE, "the platform is down");
+        }
+        let after = query_number(request.uri(), "after").map(PlatformRevision);
+        let wait = query_number(request.uri(), "wait_ms").unwrap_or_default();
+        let wait = Duration::from_millis(wait).min(MAX_WATCH);
+        match path {
+            "/config/sheet" => {
+                let (revision, value) = read_value(&self.sheet, after, wait);
+                self.answer(&ConfigValue { revision, value })
+            }
+            _ => {
+                let (revision, instances) = read_value(&self.instances, after, wait);
+                self.answer(&InstanceList {
+                    revision,
+                    instances,
+                })
+            }
+        }
+    }
+
+    /// Answers unless the platform went down while the call waited.
+    fn answer(&self, value: &impl serde::Serialize) -> Response<Body> {
+        match self.wait_while_hung() {
+            DownMode::Refuse => {
+                error_reply(StatusCode::SERVICE_UNAVAILABLE, "the platform is down")
+            }
+            DownMode::No | DownMode::Hang => json_reply(StatusCode::OK, value),
+        }
+    }
+
+    fn wait_while_hung(&self) -> DownMode {
+        let mode = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self
+            .down_changed
+            .wait_timeout_while(mode, MAX_HANG, |mode| *mode == DownMode::Hang);
+        *waited.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    fn limiter(&self) -> MutexGuard<'_, CallLimiter> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn read_value<T: Clone>(
+    value: &WatchedValue<T>,
+    after: Option<PlatformRevision>,
+    wait: Duration,
+) -> (PlatformRevision, T) {
+    match after {
+        Some(after) => value.wait_after(after, wait),
+        None => value.read(),
+    }
+}
+
+fn check_size(sheet: &str) -> Result<()> {
+    ensure!(
+        sheet.len() as u64 <= MAX_VALUE_BYTES.get(),
+        "the value has {} bytes and the limit is {MAX_VALUE_BYTES}; publish a smaller one",
+        sheet.len()
+    );
+    Ok(())
+}
