Run non-idempotent requests by ticket, across instances

Cause: a caller that resends after a lost answer may reach another instance, which must not run the request again. Change: a request without a ticket is refused with 428 and one; the ticket's owner runs it in a task of its own, so that a disconnecting caller cannot leave it half recorded; other instances forward to the owner over JSON-RPC. A draining instance asks a peer to issue the ticket. Each try uses a new connection and asks 'may_send' after the connection is open, since the process may have been paused while it waited. Ruled out: idle pooled connections (one may be silent, and the effect would stay unknown); running in the caller's connection task (it is dropped when the caller disconnects); 64-bit random numbers in tickets (JSON readers that hold numbers as floats would damage them).

--- a/crates/anvilhubd/src/caller/caller_server.rs
+++ b/crates/anvilhubd/src/caller/caller_server.rs
@@ -21,8 +21,7 @@
 }
 
 impl CallerServer {
-    pub(crate) fn new(context: Arc<EntryContext>) -> Self {
-        let handler = Arc::new(QueryHandler::new(Arc::clone(&context)));
+    pub(crate) fn new(context: Arc<EntryContext>, handler: Arc<QueryHandler>) -> Self {
         Self { context, handler }
     }
 
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -2,11 +2,12 @@
 
 use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome, QueryRequest};
 use anvilhub_coord::ids::{ByteSize, RequestId};
+use anvilhub_coord::ticket::RequestOrigin;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
-use log::{info, warn};
+use log::info;
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
@@ -15,6 +16,7 @@
     CallerFilter, DeadlineFilter, EntryRequest, FilterChain, RequestError, Result, ServiceFilter,
 };
 use crate::lifecycle::LifecycleStage;
+use crate::peer::{BatchAnswer, BatchMessage};
 
 /// Answers callers' HTTP requests.
 pub(crate) struct QueryHandler {
@@ -43,10 +45,11 @@
     /// Answers one request; errors become answers.
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let _guard = self.context.begin_request();
-        let mut response = match self.read_query(request).await {
-            Ok(query) => self.answer_query(query).await,
+        let (status, answer) = match self.read_query(request).await {
+            Ok(query) => self.answer(query, RequestOrigin::Caller).await,
             Err(error) => refuse(&error, no_request_id()),
         };
+        let mut response = respond(status, &answer);
         if self.context.stage.get() == LifecycleStage::Draining {
             response.headers_mut().insert(
                 header::CONNECTION,
@@ -77,18 +80,28 @@
         })
     }
 
-    async fn answer_query(&self, query: QueryRequest) -> Response<Full<Bytes>> {
+    /// Answers a parsed request of a caller or of another instance.
+    pub(crate) async fn answer(
+        &self,
+        query: QueryRequest,
+        origin: RequestOrigin,
+    ) -> (StatusCode, QueryAnswer) {
         let request_id = query.request_id.clone();
-        match self.run_query(query).await {
+        match self.run_query(query, origin).await {
             Ok(answer) => {
                 log_answer(&answer);
-                respond(status_of(&answer), &answer)
+                (status_of(&answer), answer)
             }
             Err(error) => refuse(&error, request_id),
         }
     }
 
-    async fn run_query(&self, query: QueryRequest) -> Result<QueryAnswer> {
+    /// Runs sub-requests of another instance's request.
+    pub(crate) async fn run_batch(&self, batch: BatchMessage) -> BatchAnswer {
+        self.runner.run_batch(batch).await
+    }
+
+    async fn run_query(&self, query: QueryRequest, origin: RequestOrigin) -> Result<QueryAnswer> {
         let sheet = self
             .context
             .sheet
@@ -96,7 +109,15 @@
             .ok_or(RequestError::NotReady)?;
         let mut request = EntryRequest::new(query, sheet, self.context.clock.now());
         self.chain.apply(&mut request)?;
-        self.runner.run(&request).await
+        match request.is_idempotent(request.service()?) {
+            true => self.runner.run(&request).await,
+            false => {
+                self.context
+                    .tickets
+                    .answer(&self.context, request, origin)
+                    .await
+            }
+        }
     }
 }
 
@@ -121,9 +142,9 @@
     info!(request_id:% = answer.request_id, outcome:% = answer.outcome, coverage; "request answered");
 }
 
-fn refuse(error: &RequestError, request_id: RequestId) -> Response<Full<Bytes>> {
-    warn!(request_id:% = request_id, code = error.code(); "request refused: {error}");
-    respond(error.status(), &error.answer(request_id))
+fn refuse(error: &RequestError, request_id: RequestId) -> (StatusCode, QueryAnswer) {
+    info!(request_id:% = request_id, code = error.code(); "request refused: {error}");
+    (error.status(), error.answer(request_id))
 }
 
 fn status_of(answer: &QueryAnswer) -> StatusCode {
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -1,13 +1,20 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use anvilhub_coord::sheet::CheckedSheet;
+use anvilhub_coord::border::platform::{InstanceEntry, InstanceList, InstanceRole, InstanceState};
+use anvilhub_coord::ids::{Incarnation, InstanceId};
+use anvilhub_coord::sheet::{CheckedSheet, ReplicaSpec, ShardSpec};
+use anvilhub_coord::ticket::{TicketIdentity, TicketLimits, TicketTable};
 use arc_swap::ArcSwapOption;
+use rand::seq::SliceRandom;
 
 use crate::DaemonSettings;
 use crate::clock::DaemonClock;
 use crate::lifecycle::StageCell;
+use crate::peer::PeerClients;
 use crate::pool::UpstreamPool;
+use crate::tickets::{TicketService, random_number};
 
 /// State that the request path, the controllers and the operator endpoints share.
 pub(crate) struct EntryContext {
@@ -15,19 +22,27 @@
     pub(crate) clock: DaemonClock,
     pub(crate) stage: StageCell,
     pub(crate) sheet: ArcSwapOption<CheckedSheet>,
+    pub(crate) instances: ArcSwapOption<InstanceList>,
     pub(crate) pool: UpstreamPool,
+    pub(crate) peers: PeerClients,
+    pub(crate) tickets: Arc<TicketService>,
     requests: AtomicUsize,
 }
 
 impl EntryContext {
     pub(crate) fn new(settings: DaemonSettings, clock: DaemonClock, stage: StageCell) -> Arc<Self> {
         let pool = UpstreamPool::new(&settings);
+        let peers = PeerClients::new(settings.connect_timeout);
+        let tickets = Arc::new(TicketService::new(ticket_table(&settings)));
         Arc::new(Self {
             settings,
             clock,
             stage,
             sheet: ArcSwapOption::empty(),
+            instances: ArcSwapOption::empty(),
             pool,
+            peers,
+            tickets,
             requests: AtomicUsize::new(0),
         })
     }
@@ -41,6 +56,51 @@
     pub(crate) fn requests_in_flight(&self) -> usize {
         self.requests.load(Ordering::Acquire)
     }
+
+    /// Peer address of another instance, as the instance list has it.
+    pub(crate) fn peer_address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let list = self.instances.load_full()?;
+        let entry = list.instances.iter().find(|entry| entry.id == *instance)?;
+        entry.peer_address.as_ref()?.parse().ok()
+    }
+
+    /// Peer addresses of the other entry instances that are not leaving.
+    pub(crate) fn live_peers(&self) -> Vec<SocketAddr> {
+        let Some(list) = self.instances.load_full() else {
+            return Vec::new();
+        };
+        let is_peer = |entry: &&InstanceEntry| {
+            entry.role == InstanceRole::Entry
+                && entry.state == InstanceState::Live
+                && entry.id != self.settings.instance
+        };
+        let peers = list.instances.iter().filter(is_peer);
+        peers
+            .filter_map(|entry| entry.peer_address.as_ref()?.parse().ok())
+            .collect()
+    }
+
+    /// Replicas of a shard in the order in which to try them: own failure domain first, then at random.
+    pub(crate) fn replicas_by_preference<'a>(&self, shard: &'a ShardSpec) -> Vec<&'a ReplicaSpec> {
+        let mut replicas: Vec<_> = shard.replicas.iter().collect();
+        replicas.shuffle(&mut rand::rng());
+        replicas.sort_by_key(|replica| replica.failure_domain != self.settings.failure_domain);
+        replicas
+    }
+}
+
+fn ticket_table(settings: &DaemonSettings) -> TicketTable {
+    let identity = TicketIdentity {
+        instance: settings.instance.clone(),
+        address: settings.peer_address,
+        incarnation: Incarnation(random_number()),
+    };
+    let limits = TicketLimits {
+        lifetime: settings.ticket_lifetime,
+        retention: settings.ticket_retention,
+        ..TicketLimits::default()
+    };
+    TicketTable::new(identity, limits)
 }
 
 /// Marks one request as in flight.
--- a/crates/anvilhubd/src/controllers/platform_client.rs
+++ b/crates/anvilhubd/src/controllers/platform_client.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvilhub_coord::border::platform::ConfigValue;
+use anvilhub_coord::border::platform::{ConfigValue, InstanceList};
 use anvilhub_coord::ids::PlatformRevision;
 use eyre::{Result, WrapErr, ensure};
 use oxhttp::Client;
@@ -30,6 +30,15 @@
         self.watch("config/sheet", after, wait)
     }
 
+    /// Waits for an instance list with a higher revision than `after` for at most `wait`.
+    pub(crate) fn watch_instances(
+        &self,
+        after: Option<PlatformRevision>,
+        wait: Duration,
+    ) -> Result<Option<InstanceList>> {
+        self.watch("instances", after, wait)
+    }
+
     fn watch<T: DeserializeOwned>(
         &self,
         path: &str,
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -12,13 +12,14 @@
 use tokio::sync::watch;
 
 use crate::DaemonSettings;
-use crate::caller::CallerServer;
+use crate::caller::{CallerServer, QueryHandler};
 use crate::clock::DaemonClock;
 use crate::context::EntryContext;
-use crate::controllers::ConfigController;
+use crate::controllers::{ConfigController, MemberController};
 use crate::lifecycle::{Draining, InstanceLifecycle, Ready};
 use crate::logging;
 use crate::operator::OperatorServer;
+use crate::peer::PeerServer;
 
 /// How often a draining instance looks for requests in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -39,8 +40,12 @@
     let (drain_sender, drain) = bounded(1);
     let (accepted_sender, accepted) = bounded(1);
     let listener = bind_callers(&runtime, &context)?;
+    let handler = Arc::new(QueryHandler::new(Arc::clone(&context)));
+    let peer_server = PeerServer::new(Arc::clone(&context), Arc::clone(&handler));
+    let _peers = runtime.block_on(peer_server.start())?;
     OperatorServer::new(Arc::clone(&context), metrics, drain_sender.clone()).spawn()?;
     forward_signals(drain_sender)?;
+    MemberController::new(Arc::clone(&context)).spawn()?;
     ConfigController::new(Arc::clone(&context), accepted_sender).spawn()?;
 
     info!(instance:% = context.settings.instance; "waiting for a sheet");
@@ -53,7 +58,8 @@
     }
     let lifecycle = lifecycle.serve();
     info!(instance:% = context.settings.instance; "ready");
-    serve(&runtime, &context, listener, lifecycle, &drain);
+    let server = CallerServer::new(Arc::clone(&context), handler);
+    serve(&runtime, &context, (server, listener), lifecycle, &drain);
     Ok(())
 }
 
@@ -89,12 +95,11 @@
 fn serve(
     runtime: &Runtime,
     context: &Arc<EntryContext>,
-    listener: TcpListener,
+    (server, listener): (CallerServer, TcpListener),
     lifecycle: InstanceLifecycle<Ready>,
     drain: &Receiver<()>,
 ) {
     let (stop_sender, stop) = watch::channel(false);
-    let server = CallerServer::new(Arc::clone(context));
     let serving = runtime.spawn(async move { server.serve(listener, stop).await });
     let _ = drain.recv();
     let lifecycle = lifecycle.drain();
@@ -108,8 +113,14 @@
 
 /// Serves on for the balancer's lag, and then until no request is in flight.
 fn wait_for_requests(context: &EntryContext, _draining: &InstanceLifecycle<Draining>) {
+    context.tickets.drain();
     std::thread::sleep(context.settings.drain_grace);
-    while context.requests_in_flight() > 0 {
+    while context.requests_in_flight() > 0 || owned_tickets(context) > 0 {
         std::thread::sleep(DRAIN_POLL);
     }
 }
+
+/// Tickets whose request may still arrive or be resent. They expire, so the wait is bounded.
+fn owned_tickets(context: &EntryContext) -> usize {
+    context.tickets.drain_report(context.clock.now()).owned()
+}
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvilhub_coord::border::query::{
     CoverageEntry, MissingEntry, MissingReason, QueryAnswer, QueryOutcome,
@@ -12,6 +13,7 @@
 
 use crate::context::EntryContext;
 use crate::filters::{EntryRequest, Result};
+use crate::peer::{BatchAnswer, BatchItem, BatchMessage, BatchOutcome};
 use crate::pool::PoolError;
 
 /// Sends a request's sub-requests and gathers their answers.
@@ -73,6 +75,38 @@
         })
     }
 
+    /// Runs sub-requests for shards that this instance owns.
+    pub(crate) async fn run_batch(&self, batch: BatchMessage) -> BatchAnswer {
+        let outcomes = join_all(batch.items.iter().map(|item| self.run_item(item))).await;
+        BatchAnswer { outcomes }
+    }
+
+    async fn run_item(&self, item: &BatchItem) -> BatchOutcome {
+        let sheet = self.context.sheet.load_full();
+        let service = sheet
+            .as_ref()
+            .and_then(|sheet| sheet.services.get(&item.request.service));
+        let shard = service.and_then(|service| {
+            let mut shards = service.shards.iter();
+            shards.find(|shard| shard.name == item.shard)
+        });
+        let mut reason = MissingReason::NoReplica;
+        let deadline = self.context.clock.now() + Duration::from_millis(item.request.deadline_ms);
+        for replica in shard.iter().flat_map(|shard| &shard.replicas) {
+            let remaining = deadline.since(self.context.clock.now());
+            let query = self
+                .context
+                .pool
+                .query(replica.address, &item.request, remaining);
+            match query.await {
+                Ok(answer) => return BatchOutcome::Answered(answer),
+                Err(error) => reason = missing_reason(&error),
+            }
+        }
+        let held = Vec::new();
+        BatchOutcome::Missing { reason, held }
+    }
+
     async fn query_shard(
         &self,
         request: &EntryRequest,
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -1,5 +1,6 @@
-use anvilhub_coord::border::query::{ErrorEntry, QueryAnswer, QueryOutcome};
+use anvilhub_coord::border::query::{ErrorEntry, QueryAnswer, QueryOutcome, TicketEntry};
 use anvilhub_coord::ids::{ByteSize, CallerName, RequestId, ServiceName};
+use anvilhub_coord::ticket::TicketRefusal;
 use derive_more::{Display, Error};
 use hyper::StatusCode;
 
@@ -27,18 +28,33 @@
     UnknownKey { key: u64 },
     #[display("no sheet is in force yet")]
     NotReady,
+    #[display("a non-idempotent request to service `{service}` names no key")]
+    KeyMissing { service: ServiceName },
+    #[display("a non-idempotent request needs a ticket")]
+    TicketRequired { ticket: Box<TicketEntry> },
+    #[display("{refusal}")]
+    NoTicket { refusal: TicketRefusal },
+    #[display("the ticket cannot be read: {reason}")]
+    BadTicket { reason: String },
+    #[display("{refusal}")]
+    TicketRefused { refusal: TicketRefusal },
 }
 
 impl RequestError {
     pub(crate) fn status(&self) -> StatusCode {
         match self {
             Self::UnknownPath { .. } | Self::UnknownService { .. } => StatusCode::NOT_FOUND,
-            Self::MalformedBody { .. } | Self::UnknownKey { .. } => StatusCode::BAD_REQUEST,
+            Self::MalformedBody { .. }
+            | Self::UnknownKey { .. }
+            | Self::KeyMissing { .. }
+            | Self::BadTicket { .. } => StatusCode::BAD_REQUEST,
             Self::OversizedBody { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::CallerNotServed { .. } => StatusCode::FORBIDDEN,
             Self::DeadlineExpired { .. } => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoTicket { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TicketRequired { .. } => StatusCode::PRECONDITION_REQUIRED,
+            Self::TicketRefused { .. } => StatusCode::CONFLICT,
         }
     }
 
@@ -54,6 +70,20 @@
             Self::DeadlineExpired { .. } => "deadline_expired",
             Self::UnknownKey { .. } => "unknown_key",
             Self::NotReady => "not_ready",
+            Self::KeyMissing { .. } => "key_missing",
+            Self::TicketRequired { .. } => "ticket_required",
+            Self::BadTicket { .. } => "bad_ticket",
+            Self::NoTicket { refusal } | Self::TicketRefused { refusal } => refusal.code(),
+        }
+    }
+
+    /// What is known of the request's effect. A request that was never routed did not run; a ticket that cannot
+    /// be used may stem from a damaged resend of a request that ran.
+    fn outcome(&self) -> QueryOutcome {
+        match self {
+            Self::BadTicket { .. } => QueryOutcome::Unknown,
+            Self::TicketRefused { refusal } => refusal.outcome(),
+            _ => QueryOutcome::NotRun,
         }
     }
 
@@ -68,23 +98,39 @@
             Self::DeadlineExpired { .. } => "send the request with more time",
             Self::UnknownKey { .. } => "use a key from 0 to 4294967295",
             Self::NotReady => "send the request to an instance that is ready",
+            Self::KeyMissing { .. } => "add the field `key`",
+            Self::TicketRequired { .. } => "send the request again with the ticket of this answer",
+            Self::NoTicket { .. } => "send the request to another instance",
+            Self::BadTicket { .. } => "send the ticket unchanged",
+            Self::TicketRefused { .. } => "look up the effect before repeating the request",
+        }
+    }
+
+    fn error_entry(&self) -> ErrorEntry {
+        match self {
+            Self::NoTicket { refusal } | Self::TicketRefused { refusal } => refusal.to_error(),
+            _ => ErrorEntry {
+                code: self.code().to_owned(),
+                message: self.to_string(),
+                remedy: self.remedy().to_owned(),
+            },
         }
     }
 
-    /// The answer to the caller. Every error here is raised before a sub-request is sent.
+    /// The answer to the caller.
     pub(crate) fn answer(&self, request_id: RequestId) -> QueryAnswer {
+        let ticket = match self {
+            Self::TicketRequired { ticket } => Some(TicketEntry::clone(ticket)),
+            _ => None,
+        };
         QueryAnswer {
             request_id,
-            outcome: QueryOutcome::NotRun,
+            outcome: self.outcome(),
             rows: Vec::new(),
             snapshot: None,
             coverage: None,
-            ticket: None,
-            error: Some(ErrorEntry {
-                code: self.code().to_owned(),
-                message: self.to_string(),
-                remedy: self.remedy().to_owned(),
-            }),
+            ticket,
+            error: Some(self.error_entry()),
         }
     }
 }
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod settings;
 mod settings_error;
+mod tickets;
 
 pub use daemon::run;
 pub use settings::DaemonSettings;
--- a/crates/anvilhubd/src/peer/peer_clients.rs
+++ b/crates/anvilhubd/src/peer/peer_clients.rs
@@ -10,10 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::{PeerError, Result};
+use super::{MAX_MESSAGE_BYTES, PeerError, Result};
 
-/// Largest message between instances: a sheet of 1 MB with its escapes, or a batch of answers.
-const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
 /// Calls in flight on the connection to one peer.
 const MAX_CALLS: usize = 4_096;
 /// Interval of pings, which show that a connection went silent.
--- /dev/null
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+
+use anvilhub_coord::border::query::{QueryAnswer, TicketEntry};
+use anvilhub_coord::ticket::RequestOrigin;
+use eyre::{Result, WrapErr};
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+
+use crate::caller::QueryHandler;
+use crate::context::EntryContext;
+
+use super::{
+    BatchAnswer, BatchMessage, ForwardMessage, IssueMessage, MAX_MESSAGE_BYTES, PeerApiServer,
+};
+
+/// Connections from other instances at once; each peer holds one, or two while it replaces a silent one.
+const MAX_PEER_CONNECTIONS: u32 = 4_096;
+/// JSON-RPC error code of a request that the called instance refuses.
+const REFUSED: i32 = 1;
+
+/// Answers other instances.
+pub(crate) struct PeerServer {
+    context: Arc<EntryContext>,
+    handler: Arc<QueryHandler>,
+}
+
+impl PeerServer {
+    pub(crate) fn new(context: Arc<EntryContext>, handler: Arc<QueryHandler>) -> Self {
+        Self { context, handler }
+    }
+
+    /// Listens on the peer address. The server stops when the handle is dropped.
+    pub(crate) async fn start(self) -> Result<ServerHandle> {
+        let address = self.context.settings.peer_address;
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_MESSAGE_BYTES)
+            .max_response_body_size(MAX_MESSAGE_BYTES)
+            .max_connections(MAX_PEER_CONNECTIONS)
+            .build();
+        let server = Server::builder()
+            .set_config(config)
+            .build(address)
+            .await
+            .wrap_err_with(|| format!("cannot listen on peer_address {address}; is it in use?"))?;
+        Ok(server.start(self.into_rpc()))
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for PeerServer {
+    async fn forward(&self, message: ForwardMessage) -> Result<QueryAnswer, ErrorObjectOwned> {
+        let _guard = self.context.begin_request();
+        Ok(self
+            .handler
+            .answer(message.query, RequestOrigin::Peer)
+            .await
+            .1)
+    }
+
+    async fn issue_ticket(&self, message: IssueMessage) -> Result<TicketEntry, ErrorObjectOwned> {
+        let now = self.context.clock.now();
+        self.context
+            .tickets
+            .issue(&message.service, &message.caller, now)
+            .map_err(|refusal| ErrorObjectOwned::owned(REFUSED, refusal.to_string(), None::<()>))
+    }
+
+    async fn run_batch(&self, batch: BatchMessage) -> Result<BatchAnswer, ErrorObjectOwned> {
+        let _guard = self.context.begin_request();
+        Ok(self.handler.run_batch(batch).await)
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -0,0 +1,165 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anvilhub_coord::border::query::{CoverageEntry, QueryAnswer, QueryOutcome};
+use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
+use anvilhub_coord::ids::RequestId;
+use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::sheet::{ReplicaSpec, ShardSpec};
+use anvilhub_coord::ticket::{
+    NotRunReason, RequestTicket, SendDecision, TicketOutcome, TicketRun, TryDecision, TryResult,
+};
+use log::{info, warn};
+use tokio::time::timeout;
+
+use crate::context::EntryContext;
+use crate::filters::EntryRequest;
+use crate::pool::{PoolError, UpstreamConnection};
+
+/// Runs one ticketed request at one upstream.
+pub(crate) struct TicketExecutor {
+    pub(crate) context: Arc<EntryContext>,
+    pub(crate) request: EntryRequest,
+    pub(crate) ticket: RequestTicket,
+    pub(crate) key: u64,
+}
+
+impl TicketExecutor {
+    /// Tries replicas until one answers, a try leaves the effect open, or none is left.
+    pub(crate) async fn execute(&self, run: &mut TicketRun) -> TicketOutcome {
+        let Ok(service) = self.request.service() else {
+            return TicketOutcome::NotRun(NotRunReason::NoUpstream);
+        };
+        let range = KeyRange::single(self.key);
+        let Some(shard) = service.shards_in(range).next() else {
+            return TicketOutcome::NotRun(NotRunReason::NoUpstream);
+        };
+        for replica in self.context.replicas_by_preference(shard) {
+            match self.try_replica(run, shard, replica).await {
+                Some(outcome) => return outcome,
+                None => continue,
+            }
+        }
+        TicketOutcome::NotRun(NotRunReason::Refused)
+    }
+
+    /// Makes one try; `None` means that it provably did not run.
+    async fn try_replica(
+        &self,
+        run: &mut TicketRun,
+        shard: &ShardSpec,
+        replica: &ReplicaSpec,
+    ) -> Option<TicketOutcome> {
+        // A new connection is proof of life. An idle one may be silent, and then the effect stays unknown.
+        let connection = timeout(
+            self.context.settings.connect_timeout,
+            UpstreamConnection::open(replica.address),
+        );
+        let Ok(Ok(mut connection)) = connection.await else {
+            self.log_try(shard, replica, "connection not opened");
+            return None;
+        };
+        // The decision comes after the wait for the connection: the process may have been paused in it.
+        if let SendDecision::Stop(outcome) = run.may_send(self.context.clock.now()) {
+            return Some(outcome);
+        }
+        let result = self.send(&mut connection, run, replica.address).await;
+        let tried = match &result {
+            Ok(_) => TryResult::Answered,
+            Err(PoolError::Unconnected { .. }) => TryResult::NeverOpened,
+            Err(PoolError::Refused { .. }) => TryResult::Refused,
+            Err(_) => TryResult::Lost,
+        };
+        if let Err(error) = &result {
+            warn!(ticket:% = run.number(), upstream:% = replica.id; "ticketed request failed: {error}");
+        }
+        match run.after_try(tried) {
+            TryDecision::TryAgain => {
+                self.log_try(shard, replica, "proved not run");
+                None
+            }
+            TryDecision::Stop(outcome) => Some(outcome),
+            TryDecision::Finish => {
+                self.log_try(shard, replica, "answered");
+                result
+                    .ok()
+                    .map(|answer| TicketOutcome::Done(Arc::new(self.answer(answer))))
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        connection: &mut UpstreamConnection,
+        run: &TicketRun,
+        address: SocketAddr,
+    ) -> crate::pool::Result<SubAnswer> {
+        let range = KeyRange::single(self.key);
+        let remaining = run.deadline().since(self.context.clock.now());
+        let sub_request = SubRequest {
+            request_id: self.sub_request_id(),
+            service: self.request.query.service.clone(),
+            start: range.start,
+            end: range.end,
+            snapshot: None,
+            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+            idempotent: false,
+            key: Some(self.key),
+            query: self.request.query.query.clone(),
+        };
+        let exchange = connection.query(&sub_request, self.context.settings.max_answer);
+        let answer = timeout(remaining, exchange)
+            .await
+            .unwrap_or(Err(PoolError::Timeout { address }))?;
+        // An upstream that no longer owns the key may still have acted on the request.
+        match KeyRange::new(answer.start, answer.end).covers(range) {
+            true => Ok(answer),
+            false => Err(PoolError::BadAnswer {
+                address,
+                reason: format!(
+                    "it covers {}..{}, not key {}",
+                    answer.start, answer.end, self.key
+                ),
+            }),
+        }
+    }
+
+    /// The ticket's identity, which no other request has: upstreams can count effects by it.
+    fn sub_request_id(&self) -> RequestId {
+        let owner = &self.ticket.owner;
+        let text = format!(
+            "ticket/{}/{}/{}",
+            owner.instance, owner.incarnation, self.ticket.number
+        );
+        text.parse()
+            .unwrap_or_else(|_| self.request.query.request_id.clone())
+    }
+
+    fn answer(&self, answer: SubAnswer) -> QueryAnswer {
+        let range = KeyRange::single(self.key);
+        let rows = answer
+            .rows
+            .into_iter()
+            .filter(|row| range.contains(row.key));
+        QueryAnswer {
+            request_id: self.request.query.request_id.clone(),
+            outcome: QueryOutcome::Done,
+            rows: rows.collect(),
+            snapshot: Some(answer.snapshot),
+            coverage: Some(CoverageEntry {
+                complete: true,
+                fraction: 1.0,
+                missing: Vec::new(),
+            }),
+            ticket: None,
+            error: None,
+        }
+    }
+
+    fn log_try(&self, shard: &ShardSpec, replica: &ReplicaSpec, reason: &str) {
+        info!(
+            request_id:% = self.request.query.request_id, ticket:% = self.ticket.number,
+            shard:% = shard.name, upstream:% = replica.id, reason; "ticketed request routed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/tickets/ticket_service.rs
@@ -0,0 +1,235 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anvilhub_coord::border::query::{QueryAnswer, TicketEntry};
+use anvilhub_coord::ids::{CallerName, ServiceName};
+use anvilhub_coord::ticket::{
+    DrainReport, ForwardDecision, RequestDigest, RequestOrigin, RequestTicket, TicketIdentity,
+    TicketOutcome, TicketRefusal, TicketStart, TicketTable, UnknownReason,
+};
+use anvilhub_coord::time::ClockTime;
+use jsonrpsee::core::client::Client;
+use log::{info, warn};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::context::EntryContext;
+use crate::filters::{EntryRequest, RequestError, Result};
+use crate::peer::{ForwardMessage, IssueMessage, PeerApiClient};
+
+use super::ticket_executor::TicketExecutor;
+
+/// Time kept for the answer's way back to the caller when a request is forwarded.
+const FORWARD_MARGIN: Duration = Duration::from_millis(5);
+
+/// Runs non-idempotent requests at most once.
+pub(crate) struct TicketService {
+    table: Mutex<TicketTable>,
+    settled: watch::Sender<u64>,
+    identity: TicketIdentity,
+}
+
+impl TicketService {
+    pub(crate) fn new(table: TicketTable) -> Self {
+        let identity = table.identity().clone();
+        Self {
+            table: Mutex::new(table),
+            settled: watch::channel(0).0,
+            identity,
+        }
+    }
+
+    /// Issues a ticket of this instance.
+    pub(crate) fn issue(
+        &self,
+        service: &ServiceName,
+        caller: &CallerName,
+        now: ClockTime,
+    ) -> std::result::Result<TicketEntry, TicketRefusal> {
+        let ticket = self
+            .table()
+            .issue(service.clone(), caller.clone(), random_number(), now)?;
+        info!(ticket:% = ticket.number, service:% = service, caller:% = caller; "ticket issued");
+        Ok(TicketEntry::from(&ticket))
+    }
+
+    /// Issues no more tickets; running requests finish.
+    pub(crate) fn drain(&self) {
+        self.table().drain();
+    }
+
+    pub(crate) fn drain_report(&self, now: ClockTime) -> DrainReport {
+        self.table().drain_report(now)
+    }
+
+    /// Answers a non-idempotent request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request names no key, has no ticket yet, or has an unusable one.
+    pub(crate) async fn answer(
+        self: &Arc<Self>,
+        context: &Arc<EntryContext>,
+        request: EntryRequest,
+        origin: RequestOrigin,
+    ) -> Result<QueryAnswer> {
+        let service = request.service()?.name.clone();
+        let key = request
+            .query
+            .key
+            .ok_or(RequestError::KeyMissing { service })?;
+        let Some(entry) = &request.query.ticket else {
+            return Err(self.require_ticket(context, &request).await);
+        };
+        let ticket = RequestTicket::try_from(entry).map_err(|fault| RequestError::BadTicket {
+            reason: fault.to_string(),
+        })?;
+        let listed = context.peer_address_of(&ticket.owner.instance);
+        match ForwardDecision::decide(&ticket, &self.identity, origin, listed) {
+            ForwardDecision::Own => self.run_own(context, request, ticket, key).await,
+            ForwardDecision::Forward(address) => Ok(forward(context, &request, address).await),
+            ForwardDecision::Unknown(reason) => {
+                info!(request_id:% = request.query.request_id, reason:% = reason; "ticket not forwarded");
+                Ok(TicketOutcome::Unknown(reason).to_answer(request.query.request_id))
+            }
+        }
+    }
+
+    /// The refusal that carries a ticket. A draining instance asks a peer to issue it, so that a planned stop
+    /// turns nobody away.
+    async fn require_ticket(
+        &self,
+        context: &Arc<EntryContext>,
+        request: &EntryRequest,
+    ) -> RequestError {
+        let query = &request.query;
+        match self.issue(&query.service, &query.caller, context.clock.now()) {
+            Ok(ticket) => RequestError::TicketRequired {
+                ticket: Box::new(ticket),
+            },
+            Err(TicketRefusal::Draining) => match issue_at_peer(context, request).await {
+                Some(ticket) => RequestError::TicketRequired {
+                    ticket: Box::new(ticket),
+                },
+                None => RequestError::NoTicket {
+                    refusal: TicketRefusal::Draining,
+                },
+            },
+            Err(refusal) => RequestError::NoTicket { refusal },
+        }
+    }
+
+    async fn run_own(
+        self: &Arc<Self>,
+        context: &Arc<EntryContext>,
+        request: EntryRequest,
+        ticket: RequestTicket,
+        key: u64,
+    ) -> Result<QueryAnswer> {
+        let request_id = request.query.request_id.clone();
+        let deadline = request.deadline;
+        let digest = RequestDigest::of(key, &request.query.query);
+        let started = self
+            .table()
+            .start(&ticket, digest, deadline, context.clock.now());
+        match started.map_err(|refusal| RequestError::TicketRefused { refusal })? {
+            TicketStart::Recorded(outcome) => return Ok(outcome.to_answer(request_id)),
+            TicketStart::Wait => {}
+            TicketStart::Run(mut run) => {
+                let service = Arc::clone(self);
+                let context = Arc::clone(context);
+                let ticket = ticket.clone();
+                // A task of its own: the run must reach its record even when the caller disconnects.
+                tokio::spawn(async move {
+                    let _guard = context.begin_request();
+                    let executor = TicketExecutor {
+                        context: Arc::clone(&context),
+                        request,
+                        ticket,
+                        key,
+                    };
+                    let outcome = executor.execute(&mut run).await;
+                    service.table().finish(run, outcome, context.clock.now());
+                    service.settled.send_modify(|count| *count += 1);
+                });
+            }
+        }
+        let outcome = self.wait_outcome(context, &ticket, deadline).await?;
+        Ok(outcome.to_answer(request_id))
+    }
+
+    async fn wait_outcome(
+        &self,
+        context: &EntryContext,
+        ticket: &RequestTicket,
+        deadline: ClockTime,
+    ) -> Result<TicketOutcome> {
+        let mut settled = self.settled.subscribe();
+        loop {
+            let outcome = self.table().outcome(ticket);
+            if let Some(outcome) =
+                outcome.map_err(|refusal| RequestError::TicketRefused { refusal })?
+            {
+                return Ok(outcome);
+            }
+            let remaining = deadline.since(context.clock.now());
+            if remaining.is_zero() || timeout(remaining, settled.changed()).await.is_err() {
+                return Ok(TicketOutcome::Unknown(UnknownReason::StillRunning));
+            }
+        }
+    }
+
+    fn table(&self) -> MutexGuard<'_, TicketTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends the request to the ticket's owner. Without its answer the outcome is unknown.
+async fn forward(context: &EntryContext, request: &EntryRequest, owner: SocketAddr) -> QueryAnswer {
+    let request_id = request.query.request_id.clone();
+    let remaining = request
+        .deadline
+        .since(context.clock.now())
+        .saturating_sub(FORWARD_MARGIN);
+    let mut query = request.query.clone();
+    query.deadline_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    let message = ForwardMessage {
+        from: context.settings.instance.clone(),
+        query,
+    };
+    info!(request_id:% = request_id, owner:% = owner; "ticketed request forwarded to its owner");
+    let call = |client: Arc<Client>| async move { client.forward(message).await };
+    match context.peers.call(owner, remaining, call).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            warn!(request_id:% = request_id, owner:% = owner; "the ticket's owner cannot be reached: {error}");
+            TicketOutcome::Unknown(UnknownReason::OwnerUnreachable).to_answer(request_id)
+        }
+    }
+}
+
+/// Asks live peers, one after the other, to issue a ticket.
+async fn issue_at_peer(context: &EntryContext, request: &EntryRequest) -> Option<TicketEntry> {
+    for peer in context.live_peers() {
+        let message = IssueMessage {
+            service: request.query.service.clone(),
+            caller: request.query.caller.clone(),
+        };
+        let call = |client: Arc<Client>| async move { client.issue_ticket(message).await };
+        let patience = context
+            .settings
+            .peer_timeout
+            .min(request.deadline.since(context.clock.now()));
+        match context.peers.call(peer, patience, call).await {
+            Ok(ticket) => return Some(ticket),
+            Err(error) => warn!(peer:% = peer; "no ticket from a peer: {error}"),
+        }
+    }
+    None
+}
+
+/// A random number that survives JSON readers which hold numbers as 64-bit floats.
+pub(crate) fn random_number() -> u64 {
+    rand::random::<u64>() >> 11
+}
