Check whole sheets, compare them, and add the commands check and diff

Cause: CheckedSheet::from_bytes stopped at the first fault and checked only the addresses, so a sheet with gaps, copies or missing upstreams could come into force.

Change: DraftSheet checks size, syntax, fields and types of the document, SheetCheck its content and RangeCheck the key space. SheetStep checks a candidate against the sheet in force, SheetDiff compares two sheets, ServiceDigests lets peers fetch only services that differ, SheetStamp orders sheets the same way in all instances. The digest now covers the content (version, confirmed removals, services) instead of the bytes, so that an instance can put a sheet together from parts and verify it.

--- /dev/null
+++ b/crates/anvilhub-cli/src/command_error.rs
@@ -0,0 +1,57 @@
+use std::io;
+use std::path::PathBuf;
+
+use anvilhub_coord::sheet::SheetFault;
+use derive_more::{Display, Error, From};
+
+use crate::exit_status::ExitStatus;
+
+/// Result of a command.
+pub(crate) type Result<T, E = CommandError> = std::result::Result<T, E>;
+
+/// Why a command could not do what was asked.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum CommandError {
+    /// The arguments are wrong.
+    #[display("{reason}; run with --help for the usage")]
+    #[from(skip)]
+    Usage {
+        #[error(not(source))]
+        reason: String,
+    },
+    /// An option is wrong.
+    #[display("{_0}; run with --help for the usage")]
+    Option(lexopt::Error),
+    /// A file cannot be read.
+    #[display("cannot read {}: {source}; check the path and its permissions", path.display())]
+    #[from(skip)]
+    Read { path: PathBuf, source: io::Error },
+    /// A sheet that the command needs has faults.
+    #[display("{} has {} faults; correct them first, `anvilhub check` lists them", path.display(), faults.len())]
+    #[from(skip)]
+    Faults {
+        path: PathBuf,
+        #[error(not(source))]
+        faults: Vec<SheetFault>,
+    },
+    /// The output cannot be written.
+    #[display("cannot write the output: {_0}; check the pipe or the disk")]
+    Write(io::Error),
+}
+
+impl CommandError {
+    /// An error of usage.
+    pub(crate) fn usage(reason: impl Into<String>) -> Self {
+        Self::Usage {
+            reason: reason.into(),
+        }
+    }
+
+    /// The exit status that it leads to.
+    pub(crate) fn status(&self) -> ExitStatus {
+        match self {
+            Self::Faults { .. } => ExitStatus::Negative,
+            _ => ExitStatus::Usage,
+        }
+    }
+}
--- a/crates/anvilhub-cli/src/main.rs
+++ b/crates/anvilhub-cli/src/main.rs
@@ -1,3 +1,53 @@
-//! Entry point.
+//! The command-line tool `anvilhub`.
 
-fn main() {}
+mod check;
+mod command_error;
+mod diff;
+mod exit_status;
+mod sheet_file;
+mod usage;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+
+use command_error::{CommandError, Result};
+use exit_status::ExitStatus;
+use sheet_file::print;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(status) => status.into(),
+        Err(error) => {
+            eprintln!("anvilhub: {error}");
+            error.status().into()
+        }
+    }
+}
+
+/// Finds the subcommand and passes the remaining arguments to it.
+fn run() -> Result<ExitStatus> {
+    let mut parser = lexopt::Parser::from_env();
+    match parser.next()? {
+        Some(Long("help") | Short('h')) => print(usage::MAIN),
+        Some(Long("version") | Short('V')) => {
+            print(concat!("anvilhub ", env!("CARGO_PKG_VERSION"), "\n"))
+        }
+        Some(Value(command)) => dispatch(&command, parser),
+        Some(other) => Err(other.unexpected().into()),
+        None => Err(CommandError::usage("no command was given")),
+    }
+}
+
+fn dispatch(command: &OsString, parser: lexopt::Parser) -> Result<ExitStatus> {
+    match command.to_str() {
+        Some("check") => check::run(parser),
+        Some("diff") => diff::run(parser),
+        Some("help") => print(usage::MAIN),
+        _ => Err(CommandError::usage(format!(
+            "unknown command {}",
+            command.display()
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-cli/src/sheet_file.rs
@@ -0,0 +1,46 @@
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use anvilhub_coord::sheet::CheckedSheet;
+
+use crate::command_error::{CommandError, Result};
+use crate::exit_status::ExitStatus;
+
+/// Reads the bytes of a sheet.
+pub(crate) fn read(path: &Path) -> Result<Vec<u8>> {
+    fs::read(path).map_err(|source| CommandError::Read {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Reads and checks a sheet that must have no fault.
+pub(crate) fn read_checked(path: &Path) -> Result<CheckedSheet> {
+    CheckedSheet::from_bytes(&read(path)?).map_err(|faults| CommandError::Faults {
+        path: path.to_owned(),
+        faults,
+    })
+}
+
+/// The path that `value` names, if `slot` has none yet.
+pub(crate) fn set_path(slot: &mut Option<PathBuf>, value: std::ffi::OsString) -> Result<()> {
+    match slot.replace(value.into()) {
+        None => Ok(()),
+        Some(_) => Err(CommandError::usage("too many files were given")),
+    }
+}
+
+/// Writes `text` to the standard output. A reader that has closed the pipe is no error.
+pub(crate) fn print(text: &str) -> Result<ExitStatus> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(error.into()),
+        _ => Ok(ExitStatus::Success),
+    }
+}
+
+/// Writes `value` as indented JSON to the standard output.
+pub(crate) fn print_json(value: &impl serde::Serialize) -> Result<ExitStatus> {
+    let text = serde_json::to_string_pretty(value).map_err(io::Error::from)?;
+    print(&format!("{text}\n"))
+}
--- /dev/null
+++ b/crates/anvilhub-cli/tests/check_command.rs
@@ -0,0 +1,73 @@
+//! Guards against a faulty sheet that the tool lets pass, and against reports without a remedy.
+
+use crate::tool::anvilhub;
+
+#[test]
+fn valid_sheets() {
+    for sheet in ["bordurtas.json", "hanbit.json", "minimal.json"] {
+        let run = anvilhub(&["check", sheet]);
+        assert_eq!(run.code, Some(0), "{}", run.output);
+        assert_eq!(run.output, format!("{sheet}: no faults\n"));
+    }
+}
+
+#[test]
+fn every_fault() {
+    let run = anvilhub(&["check", "broken/many-faults.json"]);
+    assert_eq!(run.code, Some(1));
+    insta::assert_snapshot!(run.output);
+}
+
+#[test]
+fn unsafe_step() {
+    let alone = anvilhub(&["check", "broken/unconfirmed-removal.json"]);
+    assert_eq!(alone.code, Some(0));
+    let step = anvilhub(&[
+        "check",
+        "broken/unconfirmed-removal.json",
+        "--against",
+        "minimal.json",
+    ]);
+    assert_eq!(step.code, Some(1));
+    assert!(step.output.contains("the service `booking` disappears"));
+}
+
+#[test]
+fn json_report() {
+    let run = anvilhub(&["check", "--json", "broken/zero-slots.json"]);
+    assert_eq!(run.code, Some(1));
+    let report: serde_json::Value = serde_json::from_str(&run.output).unwrap();
+    assert_eq!(report["valid"], false);
+    assert_eq!(
+        report["faults"][0]["place"],
+        "/services/0/shards/0/replicas/0/slots"
+    );
+}
+
+#[test]
+fn wrong_usage() {
+    let cases: [&[&str]; 7] = [
+        &[],
+        &["chekc"],
+        &["check"],
+        &["check", "missing.json"],
+        &["check", "--strict", "minimal.json"],
+        &["check", "minimal.json", "hanbit.json"],
+        &["check", "minimal.json", "--against"],
+    ];
+    for arguments in cases {
+        let run = anvilhub(arguments);
+        assert_eq!(run.code, Some(2), "{arguments:?}");
+        assert_eq!(run.output, "");
+        assert!(run.errors.starts_with("anvilhub: "), "{}", run.errors);
+    }
+}
+
+#[test]
+fn help_everywhere() {
+    for arguments in [&["--help"][..], &["check", "--help"], &["diff", "-h"]] {
+        let run = anvilhub(arguments);
+        assert_eq!(run.code, Some(0));
+        assert!(run.output.contains("Usage: anvilhub"), "{}", run.output);
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-cli/tests/diff_command.rs
@@ -0,0 +1,38 @@
+//! Guards against changes that the tool does not show.
+
+use crate::tool::anvilhub;
+
+#[test]
+fn text_form() {
+    let run = anvilhub(&["diff", "minimal.json", "broken/unconfirmed-loss.json"]);
+    assert_eq!(run.code, Some(0));
+    assert_eq!(
+        run.output,
+        "version 1 -> 2\n~ service booking\n  ~ shard shard-00\n    - replica booking-00-1\n"
+    );
+}
+
+#[test]
+fn json_form() {
+    let run = anvilhub(&["diff", "--json", "bordurtas.json", "hanbit.json"]);
+    assert_eq!(run.code, Some(0));
+    let diff: serde_json::Value = serde_json::from_str(&run.output).unwrap();
+    assert_eq!(diff["added"][0], "counter-desk");
+    assert_eq!(diff["removed"].as_array().map(Vec::len), Some(4));
+}
+
+#[test]
+fn faulty_sheet() {
+    let run = anvilhub(&["diff", "minimal.json", "broken/truncated.json"]);
+    assert_eq!(run.code, Some(1));
+    assert!(
+        run.errors.contains("`anvilhub check` lists them"),
+        "{}",
+        run.errors
+    );
+}
+
+#[test]
+fn missing_file() {
+    assert_eq!(anvilhub(&["diff", "minimal.json"]).code, Some(2));
+}
--- a/crates/anvilhub-cli/tests/lib.rs
+++ b/crates/anvilhub-cli/tests/lib.rs
@@ -1,1 +1,5 @@
-//! Tests of the crate, one file a feature.
+//! Tests of the command-line tool, one file a feature.
+
+mod check_command;
+mod diff_command;
+mod tool;
--- /dev/null
+++ b/crates/anvilhub-cli/tests/tool.rs
@@ -0,0 +1,27 @@
+//! Runs the tool in the folder of the examples.
+
+use std::process::Command;
+
+/// What one run of the tool did.
+pub struct ToolRun {
+    /// Exit code.
+    pub code: Option<i32>,
+    /// Standard output.
+    pub output: String,
+    /// Standard error.
+    pub errors: String,
+}
+
+/// Runs the tool with `arguments`.
+pub fn anvilhub(arguments: &[&str]) -> ToolRun {
+    let output = Command::new(env!("CARGO_BIN_EXE_anvilhub"))
+        .args(arguments)
+        .current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples"))
+        .output()
+        .unwrap();
+    ToolRun {
+        code: output.status.code(),
+        output: String::from_utf8(output.stdout).unwrap(),
+        errors: String::from_utf8(output.stderr).unwrap(),
+    }
+}
--- a/crates/anvilhub-coord/src/ids/mod.rs
+++ b/crates/anvilhub-coord/src/ids/mod.rs
@@ -40,5 +40,7 @@
 pub use ticket_number::TicketNumber;
 pub use upstream_id::UpstreamId;
 
+pub(crate) use text_id::is_text_id;
+
 /// Result of parsing an identifier or a size.
 pub type Result<T, E = IdError> = std::result::Result<T, E>;
--- a/crates/anvilhub-coord/src/sheet/checked_sheet.rs
+++ b/crates/anvilhub-coord/src/sheet/checked_sheet.rs
@@ -1,23 +1,29 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::border::sheet::{ReplicaEntry, RouteEntry, ServiceEntry, ShardEntry};
-use crate::ids::{ServiceName, SheetDigest, SheetVersion};
+use crate::ids::{PlatformRevision, ServiceName, SheetDigest, SheetVersion};
 use crate::keyspace::KeyRange;
 
-use super::{ReplicaSpec, Result, RoutePolicy, ServiceSpec, ShardSpec, SheetDocument, SheetFault};
+use super::{
+    AcceptedSheet, DraftSheet, ReplicaSpec, Result, RoutePolicy, ServiceDigests, ServiceSpec,
+    ShardSpec, SheetDocument, SheetFault, SheetStep,
+};
 
 /// A sheet that passed the check of the whole document.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CheckedSheet {
     /// Version of the sheet.
     pub version: SheetVersion,
-    /// Digest of the document's bytes.
+    /// Digest of the content: version, confirmed removals and services, without the comment.
     pub digest: SheetDigest,
     /// Services that may disappear or lose half or more of their upstreams.
     pub confirm_removals: BTreeSet<ServiceName>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServiceSpec>,
+    digests: ServiceDigests,
+    document: Arc<SheetDocument>,
 }
 
 impl CheckedSheet {
@@ -27,50 +33,80 @@
     ///
     /// Every fault that the document has, each with its place and remedy.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self> {
-        let document: SheetDocument =
-            serde_json::from_slice(bytes).map_err(|error| vec![syntax_fault(&error)])?;
-        let mut services = BTreeMap::new();
-        for (index, entry) in document.services.iter().enumerate() {
-            let service = convert_service(index, entry)?;
-            services.insert(service.name.clone(), service);
+        DraftSheet::from_bytes(bytes)?.check()
+    }
+
+    /// Digest of each service.
+    pub fn service_digests(&self) -> &ServiceDigests {
+        &self.digests
+    }
+
+    /// The document that the sheet was read from.
+    pub fn document(&self) -> &SheetDocument {
+        &self.document
+    }
+
+    /// Accepts the sheet as the successor of the one in force, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Every reason that `SheetStep` has against the step.
+    pub fn accept(
+        self,
+        in_force: Option<&AcceptedSheet>,
+        revision: PlatformRevision,
+    ) -> Result<AcceptedSheet> {
+        if let Some(in_force) = in_force {
+            SheetStep::new(in_force.sheet(), &self).check()?;
         }
+        Ok(AcceptedSheet::new(self, revision))
+    }
+
+    /// Takes over a sheet that a peer has accepted. The step was checked there.
+    pub fn adopt(self, revision: PlatformRevision) -> AcceptedSheet {
+        AcceptedSheet::new(self, revision)
+    }
+
+    /// Converts a document that passed `SheetCheck`.
+    pub(crate) fn convert(document: SheetDocument) -> Result<Self> {
+        let digests = ServiceDigests::of(&document.services);
+        let confirm_removals = document.confirm_removals.iter().cloned().collect();
+        let services = document
+            .services
+            .iter()
+            .enumerate()
+            .map(|(index, entry)| convert_service(index, entry))
+            .collect::<Result<_>>()?;
         Ok(Self {
             version: document.version,
-            digest: SheetDigest::of(bytes),
-            confirm_removals: document.confirm_removals.into_iter().collect(),
+            digest: digests.sheet_digest(document.version, &confirm_removals),
+            confirm_removals,
             services,
+            digests,
+            document: Arc::new(document),
         })
     }
 }
 
-fn syntax_fault(error: &serde_json::Error) -> SheetFault {
-    SheetFault {
-        place: format!("line {} column {}", error.line(), error.column()),
-        found: error.to_string(),
-        expected: "a JSON document as `docs/sheet.md` describes".to_owned(),
-        remedy: "export the sheet again and publish it whole".to_owned(),
-    }
-}
-
-fn convert_service(index: usize, entry: &ServiceEntry) -> Result<ServiceSpec> {
+fn convert_service(index: usize, entry: &ServiceEntry) -> Result<(ServiceName, ServiceSpec)> {
     let place = format!("/services/{index}");
-    let shards = entry
+    let mut shards = entry
         .shards
         .iter()
         .enumerate()
         .map(|(shard, entry)| convert_shard(&format!("{place}/shards/{shard}"), entry))
         .collect::<Result<Vec<_>>>()?;
-    Ok(ServiceSpec {
+    shards.sort_by_key(|shard| shard.range);
+    let route = entry.route.as_ref();
+    let spec = ServiceSpec {
         name: entry.name.clone(),
         callers: entry.callers.iter().cloned().collect(),
         urgency: entry.urgency,
         repeatability: entry.repeatability,
-        route: entry
-            .route
-            .as_ref()
-            .map_or_else(RoutePolicy::default, convert_route),
+        route: route.map_or_else(RoutePolicy::default, convert_route),
         shards,
-    })
+    };
+    Ok((entry.name.clone(), spec))
 }
 
 fn convert_route(entry: &RouteEntry) -> RoutePolicy {
@@ -105,12 +141,12 @@
 
 fn convert_replica(place: &str, entry: &ReplicaEntry) -> Result<ReplicaSpec> {
     let address = entry.address.parse().map_err(|_| {
-        vec![SheetFault {
-            place: format!("{place}/address"),
-            found: format!("`{}`", entry.address),
-            expected: "an IP address and a port, such as 127.0.0.1:7301".to_owned(),
-            remedy: "replace host names by IP addresses".to_owned(),
-        }]
+        vec![SheetFault::new(
+            format!("{place}/address"),
+            format!("`{}`", entry.address),
+            "an IP address and a port, such as 127.0.0.1:7301",
+            "replace host names by IP addresses",
+        )]
     })?;
     Ok(ReplicaSpec {
         id: entry.id.clone(),
--- /dev/null
+++ b/crates/anvilhub-coord/src/sheet/document_shape.rs
@@ -0,0 +1,169 @@
+use serde_json::Value;
+
+use super::SheetFault;
+use super::sheet_fault::{join, quote};
+
+/// Fields, types and choices of the sheet document.
+///
+/// The generated types stop at the first unknown field or wrong type; this check reports all of them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum DocumentShape {
+    Text,
+    Unsigned { max: u64 },
+    Number,
+    Choice(&'static [&'static str]),
+    List(&'static DocumentShape),
+    Object(&'static [FieldShape]),
+}
+
+/// One field of an object.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FieldShape {
+    name: &'static str,
+    required: bool,
+    shape: DocumentShape,
+}
+
+use DocumentShape::{Choice, List, Number, Object, Text, Unsigned};
+
+const WHOLE_64: DocumentShape = Unsigned { max: u64::MAX };
+const WHOLE_32: DocumentShape = Unsigned {
+    max: u32::MAX as u64,
+};
+
+const REPLICA: DocumentShape = Object(&[
+    required("id", Text),
+    required("address", Text),
+    required("failure_domain", Text),
+    required("slots", WHOLE_32),
+    required("connections", WHOLE_32),
+]);
+
+const SHARD: DocumentShape = Object(&[
+    required("name", Text),
+    required("start", WHOLE_64),
+    required("end", WHOLE_64),
+    required("replicas", List(&REPLICA)),
+]);
+
+const ROUTE: DocumentShape = Object(&[
+    optional("mode", Choice(&["owner", "direct"])),
+    optional("extra_load_percent", Number),
+    optional("hedge_percentile", Number),
+    optional("default_deadline_ms", WHOLE_64),
+]);
+
+const SERVICE: DocumentShape = Object(&[
+    required("name", Text),
+    required("callers", List(&Text)),
+    required("urgency", Choice(&["urgent", "standard", "deferred"])),
+    required("repeatability", Choice(&["idempotent", "non_idempotent"])),
+    optional("route", ROUTE),
+    required("shards", List(&SHARD)),
+]);
+
+/// Shape of a whole sheet.
+pub(crate) const SHEET: DocumentShape = Object(&[
+    required("version", WHOLE_64),
+    optional("comment", Text),
+    optional("confirm_removals", List(&Text)),
+    required("services", List(&SERVICE)),
+]);
+
+const fn required(name: &'static str, shape: DocumentShape) -> FieldShape {
+    FieldShape {
+        name,
+        required: true,
+        shape,
+    }
+}
+
+const fn optional(name: &'static str, shape: DocumentShape) -> FieldShape {
+    FieldShape {
+        name,
+        required: false,
+        shape,
+    }
+}
+
+impl DocumentShape {
+    /// Adds every deviation of `value` from the shape to `faults`.
+    pub(crate) fn check(&self, place: &str, value: &Value, faults: &mut Vec<SheetFault>) {
+        match (self, value) {
+            (Text, Value::String(_)) | (Number, Value::Number(_)) => {}
+            (Unsigned { max }, Value::Number(number))
+                if number.as_u64().is_some_and(|number| number <= *max) => {}
+            (Choice(choices), Value::String(text)) if choices.contains(&text.as_str()) => {}
+            (List(item), Value::Array(values)) => {
+                for (index, value) in values.iter().enumerate() {
+                    item.check(&format!("{place}/{index}"), value, faults);
+                }
+            }
+            (Object(fields), Value::Object(_)) => check_fields(fields, place, value, faults),
+            _ => faults.push(self.type_fault(place, value)),
+        }
+    }
+
+    fn type_fault(&self, place: &str, value: &Value) -> SheetFault {
+        SheetFault::new(
+            place,
+            excerpt(value),
+            self.expected(),
+            "replace the value by one that the sheet reference allows",
+        )
+    }
+
+    fn expected(&self) -> String {
+        match self {
+            Text => "a text".to_owned(),
+            Unsigned { max } => format!("a whole number from 0 to {max}"),
+            Number => "a number".to_owned(),
+            Choice(choices) => format!("one of {}", choices.join(", ")),
+            List(_) => "a list".to_owned(),
+            Object(fields) => format!("an object with the fields {}", names(fields)),
+        }
+    }
+}
+
+fn check_fields(fields: &[FieldShape], place: &str, value: &Value, faults: &mut Vec<SheetFault>) {
+    let Value::Object(entries) = value else {
+        return;
+    };
+    for field in fields {
+        match entries.get(field.name) {
+            // The generated types read `null` as an absent optional field.
+            Some(Value::Null) if !field.required && !matches!(field.shape, List(_)) => {}
+            Some(value) => field.shape.check(&join(place, field.name), value, faults),
+            None if field.required => faults.push(SheetFault::new(
+                place,
+                format!("no field `{}`", field.name),
+                field.shape.expected(),
+                format!("add the field `{}`", field.name),
+            )),
+            None => {}
+        }
+    }
+    for name in entries.keys() {
+        if !fields.iter().any(|field| field.name == name) {
+            faults.push(SheetFault::new(
+                join(place, name),
+                format!("unknown field {}", quote(name)),
+                format!("only the fields {}", names(fields)),
+                "remove the field or correct its spelling",
+            ));
+        }
+    }
+}
+
+fn names(fields: &[FieldShape]) -> String {
+    let names: Vec<&str> = fields.iter().map(|field| field.name).collect();
+    names.join(", ")
+}
+
+fn excerpt(value: &Value) -> String {
+    match value {
+        Value::Array(_) => "a list".to_owned(),
+        Value::Object(_) => "an object".to_owned(),
+        other => quote(&other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/sheet/service_digests.rs
@@ -0,0 +1,54 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::border::sheet::ServiceEntry;
+use crate::ids::{ServiceName, SheetDigest, SheetVersion};
+
+/// Digest of each service, so that instances fetch only the services that differ.
+///
+/// A digest covers the entry as published, before defaults are filled in: instances whose programs have
+/// different defaults still agree on it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceDigests {
+    digests: BTreeMap<ServiceName, SheetDigest>,
+}
+
+impl ServiceDigests {
+    /// Digests of `services`.
+    pub fn of(services: &[ServiceEntry]) -> Self {
+        let digests = services
+            .iter()
+            .map(|entry| (entry.name.clone(), Self::digest_of(entry)))
+            .collect();
+        Self { digests }
+    }
+
+    /// Digest of one service.
+    pub fn digest_of(entry: &ServiceEntry) -> SheetDigest {
+        let bytes = serde_json::to_vec(entry).expect("entries have text keys and finite numbers");
+        SheetDigest::of(&bytes)
+    }
+
+    /// Digest of the service `name`.
+    pub fn get(&self, name: &ServiceName) -> Option<SheetDigest> {
+        self.digests.get(name).copied()
+    }
+
+    /// Services and their digests in the order of the names.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceName, SheetDigest)> {
+        self.digests.iter().map(|(name, digest)| (name, *digest))
+    }
+
+    /// Digest of the sheet that consists of these services.
+    pub fn sheet_digest(
+        &self,
+        version: SheetVersion,
+        confirm_removals: &BTreeSet<ServiceName>,
+    ) -> SheetDigest {
+        let content = (version, confirm_removals, &self.digests);
+        let bytes = serde_json::to_vec(&content).expect("digests have text keys");
+        SheetDigest::of(&bytes)
+    }
+}
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,3 +1,8 @@
 //! Tests of the coordination library, one file a feature.
 
 mod key_ranges;
+mod pause_detection;
+mod sheet_check;
+mod sheet_diff;
+mod sheet_fuzz;
+mod sheets;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/sheet_diff.rs
@@ -0,0 +1,60 @@
+//! Guards against a change of the sheet that the comparison or the digests do not show.
+
+use std::fs;
+
+use anvilhub_coord::sheet::{CheckedSheet, SheetDiff};
+
+use crate::sheets::{example, example_path};
+
+fn edited(edits: &[(&str, &str)]) -> CheckedSheet {
+    let mut text = fs::read_to_string(example_path("minimal.json")).unwrap();
+    for (from, to) in edits {
+        assert!(text.contains(from), "the example lacks {from}");
+        text = text.replacen(from, to, 1);
+    }
+    CheckedSheet::from_bytes(text.as_bytes()).unwrap()
+}
+
+#[test]
+fn every_kind() {
+    let new = edited(&[
+        (r#""version": 1"#, r#""version": 2"#),
+        (r#""urgency": "urgent""#, r#""urgency": "standard""#),
+        (
+            r#""default_deadline_ms": 500"#,
+            r#""default_deadline_ms": 700"#,
+        ),
+        (r#""stock-00-1""#, r#""stock-00-9""#),
+        ("127.0.0.1:23003", "127.0.0.1:23103"),
+        (
+            r#""start": 0, "end": 2147483648"#,
+            r#""start": 0, "end": 2147483649"#,
+        ),
+        (r#""start": 2147483648"#, r#""start": 2147483649"#),
+        (r#""name": "booking""#, r#""name": "orders""#),
+    ]);
+    insta::assert_snapshot!(SheetDiff::between(&example("minimal.json"), &new));
+}
+
+#[test]
+fn same_content() {
+    // Whitespace and the comment are no content: instances that read either form agree on the digest.
+    let spaced = edited(&[("{", "{ \n \"comment\": \"morning\",")]);
+    let minimal = example("minimal.json");
+    assert_eq!(spaced.digest, minimal.digest);
+    assert!(SheetDiff::between(&minimal, &spaced).is_empty());
+}
+
+#[test]
+fn one_digest_changes() {
+    let changed = edited(&[(r#""urgency": "urgent""#, r#""urgency": "standard""#)]);
+    let minimal = example("minimal.json");
+    let differing: Vec<&str> = minimal
+        .service_digests()
+        .iter()
+        .filter(|(name, digest)| changed.service_digests().get(name) != Some(*digest))
+        .map(|(name, _)| name.as_str())
+        .collect();
+    assert_eq!(differing, ["stock"]);
+    assert_ne!(changed.digest, minimal.digest);
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/sheet_fuzz.rs
@@ -0,0 +1,67 @@
+//! Guards against a published value that makes an instance panic.
+
+use std::fs;
+
+use anvilhub_coord::keyspace::KEY_SPACE_END;
+use anvilhub_coord::sheet::CheckedSheet;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::sheets::example_path;
+
+/// Seed of the generated inputs, printed so that a failure can be repeated.
+const SEED: [u8; 32] = [41; 32];
+
+const CASES: u32 = 2_000;
+
+/// A runner whose inputs are the same in every run.
+fn seeded_runner() -> TestRunner {
+    println!("seed {SEED:?}");
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED))
+}
+
+/// Says whether the shards of every service divide the key space and have upstreams.
+fn is_usable(sheet: &CheckedSheet) -> bool {
+    sheet.services.values().all(|service| {
+        let keys: u64 = service.shards.iter().map(|shard| shard.range.len()).sum();
+        keys == KEY_SPACE_END && service.shards.iter().all(|shard| shard.slots().get() > 0)
+    })
+}
+
+#[test]
+fn arbitrary_bytes() {
+    let outcome = seeded_runner().run(&vec(any::<u8>(), 0..512), |bytes| {
+        prop_assert!(CheckedSheet::from_bytes(&bytes).is_err());
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+#[test]
+fn mutated_sheets() {
+    let original = fs::read(example_path("minimal.json")).unwrap();
+    let edits = vec((any::<prop::sample::Index>(), any::<u8>(), 0..3_u8), 1..6);
+    let outcome = seeded_runner().run(&edits, |edits| {
+        let mut bytes = original.clone();
+        for (index, byte, kind) in edits {
+            let at = index.index(bytes.len());
+            match kind {
+                0 => bytes[at] = byte,
+                1 => bytes.insert(at, byte),
+                _ => drop(bytes.remove(at)),
+            }
+        }
+        match CheckedSheet::from_bytes(&bytes) {
+            Ok(sheet) => prop_assert!(is_usable(&sheet)),
+            Err(faults) => prop_assert!(!faults.is_empty()),
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
