--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -3,3 +3,8 @@
 mod answer_gather;
 mod key_ranges;
 mod ticket_table;
+mod pause_detection;
+mod sheet_check;
+mod sheet_diff;
+mod sheet_fuzz;
+mod sheets;
