Add a TCP relay as a third stand-in

Cause: a partition between two instances and connections that a device in between forgets need something between the two ends.

Ruled out: packet filters of the operating system, which need privileges and change the machine.

--- a/crates/anvilhub-dev/src/bin/anvilhub-standin.rs
+++ b/crates/anvilhub-dev/src/bin/anvilhub-standin.rs
@@ -1,4 +1,4 @@
-//! Runs a stand-in of the platform or of the upstreams of a sheet.
+//! Runs a stand-in of the platform, of the upstreams of a sheet, or of the network between two processes.
 
 use std::fs;
 use std::net::SocketAddr;
@@ -7,6 +7,7 @@
 use anvilhub_coord::border::platform::InstanceEntry;
 use anvilhub_coord::sheet::CheckedSheet;
 use anvilhub_dev::standin::platform::{PlatformCommand, PlatformServer};
+use anvilhub_dev::standin::relay::{RelayCommand, RelayServer};
 use anvilhub_dev::standin::upstream::{FleetCommand, UpstreamFleet};
 use eyre::{Result, WrapErr, bail, eyre};
 use lexopt::{Arg, Parser, ValueExt};
@@ -20,6 +21,8 @@
     Serves /config/sheet, /instances, /calls and /control.
 anvilhub-standin upstreams --sheet FILE [--control IP:PORT] [--threads N] [--command JSON]..
     Starts every replica of the sheet. The control address serves /control, /effects and /requests.
+anvilhub-standin relay --listen IP:PORT --to IP:PORT [--control IP:PORT] [--command JSON]..
+    Passes TCP connections on. The control address serves /control and /links.
 
 --command JSON   applies the body of a POST /control at the start
 --help           prints this text
@@ -34,6 +37,7 @@
     mode: Option<String>,
     listen: Option<SocketAddr>,
     control: Option<SocketAddr>,
+    to: Option<SocketAddr>,
     sheet: Option<PathBuf>,
     instances: Option<PathBuf>,
     threads: Option<usize>,
@@ -56,6 +60,7 @@
     match arguments.mode.as_deref() {
         Some("platform") => run_platform(&arguments),
         Some("upstreams") => run_upstreams(&arguments),
+        Some("relay") => run_relay(&arguments),
         Some(other) => bail!("unknown stand-in `{other}`; see --help"),
         None => bail!("no stand-in is named; see --help"),
     }
@@ -69,6 +74,7 @@
                 Arg::Long("help") => arguments.wants_help = true,
                 Arg::Long("listen") => arguments.listen = Some(parser.value()?.parse()?),
                 Arg::Long("control") => arguments.control = Some(parser.value()?.parse()?),
+                Arg::Long("to") => arguments.to = Some(parser.value()?.parse()?),
                 Arg::Long("sheet") => arguments.sheet = Some(parser.value()?.into()),
                 Arg::Long("instances") => arguments.instances = Some(parser.value()?.into()),
                 Arg::Long("threads") => arguments.threads = Some(parser.value()?.parse()?),
@@ -128,16 +134,35 @@
     fleet.listen()?;
     let control = arguments
         .control
-        .map(|address| fleet.listen_control(address));
+        .map(|address| fleet.listen_control(address))
+        .transpose()?;
     eprintln!("upstream stand-ins of {} listen", path.display());
     match control {
-        Some(listening) => Ok(listening?.join()?),
+        Some(listening) => Ok(listening.join()?),
         None => loop {
             std::thread::park();
         },
     }
 }
 
+fn run_relay(arguments: &StandinArguments) -> Result<()> {
+    let listen = required(arguments.listen, "--listen")?;
+    let target = required(arguments.to, "--to")?;
+    let relay = RelayServer::new(target);
+    for command in arguments.commands::<RelayCommand>()? {
+        relay.apply(command);
+    }
+    let _control = arguments
+        .control
+        .map(|address| relay.listen_control(address))
+        .transpose()?;
+    let accepting = relay.listen(listen)?;
+    eprintln!("relay listens on {listen} and connects to {target}");
+    accepting
+        .join()
+        .map_err(|_| eyre!("the thread that accepts connections panicked"))
+}
+
 fn required<T>(value: Option<T>, name: &str) -> Result<T> {
     value.ok_or_else(|| eyre!("{name} is missing; see --help"))
 }
--- a/crates/anvilhub-dev/src/standin/mod.rs
+++ b/crates/anvilhub-dev/src/standin/mod.rs
@@ -2,4 +2,5 @@
 
 mod http_reply;
 pub mod platform;
+pub mod relay;
 pub mod upstream;
