--- a/crates/anvilhub-dev/src/lib.rs
+++ b/crates/anvilhub-dev/src/lib.rs
@@ -1,3 +1,4 @@
 //! Development tools of anvilhub.
 
+pub mod process;
 pub mod standin;
--- /dev/null
+++ b/crates/anvilhub-dev/src/process/mod.rs
@@ -0,0 +1,32 @@
+//! Helpers of process tests: they start programs of this repository as children of the test.
+//!
+//! Waits are bounded by a number of attempts, and children are killed when their handle is dropped.
+
+mod bounded_wait;
+mod child_process;
+mod entry_process;
+mod http_call;
+mod loopback_block;
+mod platform_process;
+mod process_signal;
+mod program_file;
+mod query_call;
+mod relay_process;
+mod scratch_folder;
+mod sheet_plan;
+mod test_tier;
+mod upstreams_process;
+
+pub use bounded_wait::wait_until;
+pub use child_process::ChildProcess;
+pub use entry_process::{EntryPlan, EntryProcess};
+pub use http_call::HttpCall;
+pub use loopback_block::LoopbackBlock;
+pub use platform_process::PlatformProcess;
+pub use process_signal::ProcessSignal;
+pub use query_call::QueryCall;
+pub use relay_process::RelayProcess;
+pub use scratch_folder::ScratchFolder;
+pub use sheet_plan::{ServicePlan, SheetPlan};
+pub use test_tier::{TestTier, TierPlan};
+pub use upstreams_process::UpstreamsProcess;
--- /dev/null
+++ b/crates/anvilhub-dev/src/process/scratch_folder.rs
@@ -0,0 +1,54 @@
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::{env, fs, process};
+
+use eyre::{Result, WrapErr};
+
+/// A folder for the files of one test, removed when the value is dropped.
+#[derive(Debug)]
+pub struct ScratchFolder {
+    path: PathBuf,
+}
+
+impl ScratchFolder {
+    /// Creates the folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the temporary folder is not writable.
+    pub fn create() -> Result<Self> {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let path = env::temp_dir().join(format!("anvilhub-test-{}-{count}", process::id()));
+        fs::create_dir_all(&path).wrap_err_with(|| format!("cannot create {}", path.display()))?;
+        Ok(Self { path })
+    }
+
+    /// The path of a file in the folder.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
+    /// Writes a file and gives its path.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn write(&self, name: &str, text: &str) -> Result<PathBuf> {
+        let path = self.file(name);
+        fs::write(&path, text).wrap_err_with(|| format!("cannot write {}", path.display()))?;
+        Ok(path)
+    }
+
+    /// The folder itself.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for ScratchFolder {
+    fn drop(&mut self) {
+        // What remains is in the system's temporary folder.
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-dev/src/process/test_tier.rs
@@ -0,0 +1,132 @@
+use anvilhub_coord::border::platform::{InstanceEntry, InstanceRole, InstanceState};
+use anvilhub_coord::border::sheet::SheetDocument;
+use eyre::{Result, ensure};
+use serde_json::{Map, Value};
+
+use super::{
+    EntryPlan, EntryProcess, LoopbackBlock, PlatformProcess, QueryCall, ScratchFolder, SheetPlan,
+    UpstreamsProcess,
+};
+use crate::standin::platform::PlatformCommand;
+
+/// What a test tier consists of.
+#[derive(Clone, Debug)]
+pub struct TierPlan {
+    /// The sheet.
+    pub sheet: SheetPlan,
+    /// Number of entry instances, called `entry-1` and so on.
+    pub entries: usize,
+    /// Settings of every entry besides the addresses.
+    pub settings: Map<String, Value>,
+}
+
+impl Default for TierPlan {
+    fn default() -> Self {
+        Self {
+            sheet: SheetPlan::default(),
+            entries: 2,
+            settings: Map::new(),
+        }
+    }
+}
+
+/// A platform, the upstreams of a sheet and entry instances, each in a process.
+#[derive(Debug)]
+pub struct TestTier {
+    /// The platform.
+    pub platform: PlatformProcess,
+    /// The upstreams.
+    pub upstreams: UpstreamsProcess,
+    /// The entries, which are ready.
+    pub entries: Vec<EntryProcess>,
+    /// The sheet in force.
+    pub sheet: SheetDocument,
+    /// The source of further addresses.
+    pub block: LoopbackBlock,
+    /// Files of the test; dropped after the processes.
+    pub scratch: ScratchFolder,
+}
+
+impl TestTier {
+    /// Starts everything, and waits until all entries are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or an entry is not ready.
+    pub fn start(plan: &TierPlan) -> Result<Self> {
+        let block = LoopbackBlock::of_process();
+        let scratch = ScratchFolder::create()?;
+        let sheet = plan.sheet.document(&block)?;
+        let text = serde_json::to_string(&sheet)?;
+        let file = scratch.write("upstreams.json", &text)?;
+        let upstreams = UpstreamsProcess::start(&scratch, &block, &file)?;
+        let mut plans = Vec::new();
+        for number in 1..=plan.entries {
+            let mut entry = EntryPlan::new(&format!("entry-{number}"), &block)?;
+            entry.settings = plan.settings.clone();
+            plans.push(entry);
+        }
+        let instances = instance_list(&sheet, &plans)?;
+        let platform = PlatformProcess::start(&scratch, &block, &text, &instances)?;
+        let mut entries = plans
+            .iter()
+            .map(|plan| plan.start(&scratch, platform.address))
+            .collect::<Result<Vec<_>>>()?;
+        for entry in &mut entries {
+            entry.wait_ready()?;
+        }
+        Ok(Self {
+            platform,
+            upstreams,
+            entries,
+            sheet,
+            block,
+            scratch,
+        })
+    }
+
+    /// Publishes the sheet with a higher version, and gives that version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub fn publish_next_sheet(&mut self) -> Result<u64> {
+        self.sheet.version.0 += 1;
+        let command = PlatformCommand {
+            publish_sheet: Some(serde_json::to_string(&self.sheet)?),
+            ..PlatformCommand::default()
+        };
+        self.platform.control(&command)?;
+        Ok(self.sheet.version.get())
+    }
+
+    /// Sends one search through an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer is not whole.
+    pub fn check_search(&self, entry: usize) -> Result<()> {
+        let call = QueryCall::search("stock", "foreman")?;
+        let (status, answer) = call.send(self.entries[entry].plan.caller_address)?;
+        let is_complete = answer.coverage.as_ref().is_some_and(|part| part.complete);
+        ensure!(status == 200 && is_complete, "status {status}: {answer:?}");
+        Ok(())
+    }
+}
+
+/// The platform's list: the entries, and every upstream of the sheet.
+fn instance_list(sheet: &SheetDocument, plans: &[EntryPlan]) -> Result<Vec<InstanceEntry>> {
+    let entries = plans.iter().map(EntryPlan::list_entry);
+    let shards = sheet.services.iter().flat_map(|service| &service.shards);
+    let upstreams = shards.flat_map(|shard| &shard.replicas).map(|replica| {
+        Ok(InstanceEntry {
+            id: replica.id.as_str().parse()?,
+            role: InstanceRole::Upstream,
+            address: replica.address.clone(),
+            peer_address: None,
+            operator_address: None,
+            state: InstanceState::Live,
+        })
+    });
+    entries.chain(upstreams).collect()
+}
--- a/crates/anvilhub-dev/src/standin/upstream/replica_server.rs
+++ b/crates/anvilhub-dev/src/standin/upstream/replica_server.rs
@@ -95,11 +95,12 @@
         state.open = state.open.saturating_sub(1);
     }
 
-    /// Replaces the settings; further slots are granted at once.
+    /// Replaces the settings; further slots are granted at once, and a new lag begins with a sample.
     pub(crate) fn set(&self, settings: ReplicaSettings) {
         let mut state = self.state();
         state.settings = settings;
         state.grant_slots();
+        state.sample_reports(Instant::now());
     }
 
     /// Applies an action.
--- a/crates/anvilhub-dev/src/standin/upstream/report_history.rs
+++ b/crates/anvilhub-dev/src/standin/upstream/report_history.rs
@@ -31,14 +31,15 @@
 
     /// The report as it was `lag` before the time of `present`, or the oldest one known.
     pub(crate) fn lagged(&self, present: ReportSample, lag: Duration) -> ReportSample {
-        let shown_at = present.at.checked_sub(lag).unwrap_or(present.at);
         if lag.is_zero() {
             return present;
         }
-        let index = self
-            .samples
-            .partition_point(|sample| sample.at <= shown_at)
-            .saturating_sub(1);
+        // A lag longer than the clock has run shows the oldest report too.
+        let index = present.at.checked_sub(lag).map_or(0, |shown_at| {
+            self.samples
+                .partition_point(|sample| sample.at <= shown_at)
+                .saturating_sub(1)
+        });
         self.samples.get(index).cloned().unwrap_or(present)
     }
 }
--- a/crates/anvilhub-dev/tests/lib.rs
+++ b/crates/anvilhub-dev/tests/lib.rs
@@ -1,1 +1,3 @@
-//! Tests of the crate, one file a feature.
+//! Process tests: they start the programs of this repository. One file a feature.
+
+mod standin;
