Add the commands query, state, drain and explain

Cause: operators and the quick start need to send requests and to see what each instance does. Change: one file for each command, a typed state report from schemas/operator.schema.json, exit code 3 for an instance that cannot be reached. Ruled out: untyped JSON for the state, which the tool could not print or compare. 'explain' has no endpoint yet; it lands with the data path.

--- a/crates/anvilhub-cli/src/command_error.rs
+++ b/crates/anvilhub-cli/src/command_error.rs
@@ -34,6 +34,12 @@
         #[error(not(source))]
         faults: Vec<SheetFault>,
     },
+    /// An instance or the platform does not answer as expected.
+    #[display(
+        "{address} does not answer as expected: {reason}; check the address and the instance's log"
+    )]
+    #[from(skip)]
+    Unreachable { address: String, reason: String },
     /// The output cannot be written.
     #[display("cannot write the output: {_0}; check the pipe or the disk")]
     Write(io::Error),
@@ -51,6 +57,7 @@
     pub(crate) fn status(&self) -> ExitStatus {
         match self {
             Self::Faults { .. } => ExitStatus::Negative,
+            Self::Unreachable { .. } => ExitStatus::Unreachable,
             _ => ExitStatus::Usage,
         }
     }
--- a/crates/anvilhub-cli/src/exit_status.rs
+++ b/crates/anvilhub-cli/src/exit_status.rs
@@ -9,6 +9,8 @@
     Negative,
     /// The arguments are wrong or a file cannot be read.
     Usage,
+    /// An instance or the platform cannot be reached.
+    Unreachable,
 }
 
 impl From<ExitStatus> for ExitCode {
@@ -17,6 +19,7 @@
             ExitStatus::Success => ExitCode::SUCCESS,
             ExitStatus::Negative => ExitCode::from(1),
             ExitStatus::Usage => ExitCode::from(2),
+            ExitStatus::Unreachable => ExitCode::from(3),
         }
     }
 }
--- /dev/null
+++ b/crates/anvilhub-cli/src/explain.rs
@@ -0,0 +1,92 @@
+use std::time::Duration;
+
+use anvilhub_coord::border::operator::{ExplainReport, ExplainShard};
+use anvilhub_coord::ids::ServiceName;
+use lexopt::prelude::*;
+
+use crate::command_error::{CommandError, Result};
+use crate::exit_status::ExitStatus;
+use crate::instance_client::InstanceClient;
+use crate::sheet_file::{print, print_json};
+
+const USAGE: &str = "\
+Explains how an instance would route a request now. Nothing is sent to an upstream.
+
+Usage: anvilhub explain --instance http://IP:OPERATOR_PORT --service NAME [--key N] [--json]
+
+Options:
+  --instance URL   Operator address of the instance
+  --service NAME   Service of the request
+  --key N          The single key that the request touches; the whole key space without it
+  --json           Print the explanation as JSON
+  -h, --help       Show this help
+
+Exit codes: 0 every shard has a replica to use; 1 at least one has none; 2 wrong usage; 3 the instance cannot
+be reached or does not know the service
+";
+
+/// Runs `anvilhub explain`.
+pub(crate) fn run(mut parser: lexopt::Parser) -> Result<ExitStatus> {
+    let mut instance = None;
+    let mut service: Option<ServiceName> = None;
+    let mut key: Option<u64> = None;
+    let mut json = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => return print(USAGE),
+            Long("instance") => instance = Some(parser.value()?.string()?),
+            Long("service") => service = Some(parser.value()?.parse()?),
+            Long("key") => key = Some(parser.value()?.parse()?),
+            Long("json") => json = true,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let instance = instance.ok_or_else(|| CommandError::usage("option `--instance` is missing"))?;
+    let service = service.ok_or_else(|| CommandError::usage("option `--service` is missing"))?;
+    let key = key.map(|key| format!("&key={key}")).unwrap_or_default();
+    let client = InstanceClient::new(&instance, Duration::ZERO)?;
+    let report: ExplainReport = client.get(&format!("/explain?service={service}{key}"))?;
+    match json {
+        true => print_json(&report)?,
+        false => print(&text(&report))?,
+    };
+    match report.shards.iter().all(|shard| shard.chosen.is_some()) {
+        true => Ok(ExitStatus::Success),
+        false => Ok(ExitStatus::Negative),
+    }
+}
+
+fn text(report: &ExplainReport) -> String {
+    let snapshot = report
+        .snapshot
+        .map_or("unknown".to_owned(), |snapshot| snapshot.to_string());
+    let head = format!(
+        "{}, keys {}..{}, snapshot {snapshot}\n",
+        report.service, report.start, report.end
+    );
+    report
+        .shards
+        .iter()
+        .fold(head, |text, shard| text + &shard_text(shard))
+}
+
+fn shard_text(shard: &ExplainShard) -> String {
+    let chosen = shard
+        .chosen
+        .as_ref()
+        .map_or("no replica", |chosen| chosen.as_str());
+    let mut text = format!(
+        "{} {}..{}: {chosen} ({}), owner {}\n",
+        shard.shard, shard.start, shard.end, shard.reason, shard.owner
+    );
+    for replica in &shard.replicas {
+        let latency = replica
+            .latency_us
+            .map_or("no latency yet".to_owned(), |micros| format!("{micros} us"));
+        text += &format!(
+            "  {}: {}, {} in flight, {latency}\n",
+            replica.id, replica.status, replica.in_flight
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/anvilhub-cli/src/instance_client.rs
@@ -0,0 +1,85 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oxhttp::Client;
+use oxhttp::model::{Body, Method, Request, StatusCode, Uri};
+use serde::de::DeserializeOwned;
+
+use crate::command_error::{CommandError, Result};
+
+/// Time that an instance has to answer beyond the time that the request itself may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Talks HTTP to an instance or to the platform.
+pub(crate) struct InstanceClient {
+    base: String,
+    client: Client,
+}
+
+impl InstanceClient {
+    /// A client for `address`: `IP:PORT`, with or without `http://`.
+    pub(crate) fn new(address: &str, patience: Duration) -> Result<Self> {
+        let host = address.trim_start_matches("http://").trim_end_matches('/');
+        let host: SocketAddr = host
+            .parse()
+            .map_err(|_| CommandError::usage(format!("`{address}` is not http://IP:PORT")))?;
+        Ok(Self {
+            base: format!("http://{host}"),
+            client: Client::new().with_global_timeout(patience + ANSWER_TIMEOUT),
+        })
+    }
+
+    /// Reads a JSON document.
+    pub(crate) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let (status, body) = self.call(Method::GET, path, String::new())?;
+        match status {
+            StatusCode::OK => self.parse(path, &body),
+            other => Err(self.unreachable(path, format!("HTTP status {other}: {}", body.trim()))),
+        }
+    }
+
+    /// Posts a body and returns the status with the JSON document of the answer, whatever the status.
+    pub(crate) fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: String,
+    ) -> Result<(StatusCode, T)> {
+        let (status, body) = self.call(Method::POST, path, body)?;
+        Ok((status, self.parse(path, &body)?))
+    }
+
+    /// Posts without a body and returns the status.
+    pub(crate) fn trigger(&self, path: &str) -> Result<StatusCode> {
+        Ok(self.call(Method::POST, path, String::new())?.0)
+    }
+
+    fn call(&self, method: Method, path: &str, body: String) -> Result<(StatusCode, String)> {
+        let uri: Uri = format!("{}{path}", self.base)
+            .parse()
+            .map_err(|_| CommandError::usage(format!("`{path}` cannot be requested")))?;
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Body::from(body))
+            .expect("a checked request head is valid");
+        let response = self.client.request(request);
+        let response = response.map_err(|error| self.unreachable(path, error.to_string()))?;
+        let status = response.status();
+        let body = response.into_body().to_string();
+        Ok((
+            status,
+            body.map_err(|error| self.unreachable(path, error.to_string()))?,
+        ))
+    }
+
+    fn parse<T: DeserializeOwned>(&self, path: &str, body: &str) -> Result<T> {
+        serde_json::from_str(body).map_err(|error| self.unreachable(path, error.to_string()))
+    }
+
+    fn unreachable(&self, path: &str, reason: String) -> CommandError {
+        CommandError::Unreachable {
+            address: format!("{}{path}", self.base),
+            reason,
+        }
+    }
+}
--- a/crates/anvilhub-cli/src/main.rs
+++ b/crates/anvilhub-cli/src/main.rs
@@ -3,8 +3,13 @@
 mod check;
 mod command_error;
 mod diff;
+mod drain;
 mod exit_status;
+mod explain;
+mod instance_client;
+mod query;
 mod sheet_file;
+mod state;
 mod usage;
 
 use std::ffi::OsString;
@@ -44,6 +49,10 @@
     match command.to_str() {
         Some("check") => check::run(parser),
         Some("diff") => diff::run(parser),
+        Some("drain") => drain::run(parser),
+        Some("explain") => explain::run(parser),
+        Some("query") => query::run(parser),
+        Some("state") => state::run(parser),
         Some("help") => print(usage::MAIN),
         _ => Err(CommandError::usage(format!(
             "unknown command {}",
--- a/crates/anvilhub-coord/src/border/mod.rs
+++ b/crates/anvilhub-coord/src/border/mod.rs
@@ -1,5 +1,7 @@
 //! Message and document types at the border, generated from `schemas/`.
 
+#[allow(missing_docs, clippy::all)]
+pub mod operator;
 #[allow(missing_docs, clippy::all)]
 pub mod platform;
 #[allow(missing_docs, clippy::all)]
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -2,9 +2,9 @@
 
 mod answer_gather;
 mod key_ranges;
-mod ticket_table;
 mod pause_detection;
 mod sheet_check;
 mod sheet_diff;
 mod sheet_fuzz;
 mod sheets;
+mod ticket_table;
--- a/crates/anvilhub-dev/src/bin/generate-types.rs
+++ b/crates/anvilhub-dev/src/bin/generate-types.rs
@@ -8,7 +8,9 @@
 use eyre::{Result, WrapErr};
 use typify::{TypeSpace, TypeSpaceSettings};
 
-const SCHEMAS: [&str; 5] = ["sheet", "query", "upstream", "platform", "settings"];
+const SCHEMAS: [&str; 6] = [
+    "operator", "platform", "query", "settings", "sheet", "upstream",
+];
 
 const DOMAIN_TYPES: [&str; 12] = [
     "CallerName",
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -1,12 +1,13 @@
 use std::sync::Arc;
 
+use anvilhub_coord::border::operator::{SheetState, StateReport};
 use crossbeam::channel::Sender;
 use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::PrometheusHandle;
 use oxhttp::Server;
 use oxhttp::model::header::CONTENT_TYPE;
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
-use serde_json::json;
+use serde::Serialize;
 
 use crate::context::EntryContext;
 use crate::lifecycle::LifecycleStage;
@@ -71,19 +72,22 @@
     }
 
     fn state(&self) -> Response<Body> {
-        let sheet = self.context.sheet.load();
-        let state = json!({
-            "instance": self.context.settings.instance,
-            "failure_domain": self.context.settings.failure_domain,
-            "stage": self.context.stage.get().to_string(),
-            "sheet_version": sheet.as_ref().map(|sheet| sheet.version),
-            "sheet_digest": sheet.as_ref().map(|sheet| sheet.digest),
-            "requests_in_flight": self.context.requests_in_flight(),
-        });
-        Response::builder()
-            .header(CONTENT_TYPE, "application/json")
-            .body(state.to_string().into())
-            .expect("a constant response head is valid")
+        let sheet = self.context.sheet.load_full();
+        let now = self.context.clock.now();
+        json(&StateReport {
+            instance: self.context.settings.instance.clone(),
+            failure_domain: self.context.settings.failure_domain.clone(),
+            stage: self.context.stage.get().to_string(),
+            sheet: sheet.map(|sheet| SheetState {
+                version: sheet.version,
+                digest: sheet.digest.to_string(),
+            }),
+            requests_in_flight: self.context.requests_in_flight() as u64,
+            tickets: self.context.tickets.drain_report(now).owned() as u64,
+            peers: Vec::new(),
+            upstreams: Vec::new(),
+            alarms: Vec::new(),
+        })
     }
 
     fn start_drain(&self) -> Response<Body> {
@@ -100,3 +104,11 @@
         .body(body.into())
         .expect("a constant response head is valid")
 }
+
+fn json(document: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_string(document).expect("border types serialize to JSON");
+    Response::builder()
+        .header(CONTENT_TYPE, "application/json")
+        .body(body.into())
+        .expect("a constant response head is valid")
+}
