Add acceptance of sheets, membership and gossip

Cause: nothing decided which sheet is in force, who the peers are, or how instances tell each other.

Change: SheetAcceptor is a state machine over SheetInput and SheetAction: it learns from peers at the start, announces a candidate for the settling time, adopts what peers accepted, resolves two contents of one version by SheetStamp, confirms its sheet after a pause, and raises alarms. Peers fetch announced candidates too, so that a sheet that one instance accepted is already held elsewhere when that instance fails. MemberTable, ShardOwner, RendezvousHash, GossipPlan and ReaderElection cover membership.

Ruled out: accepting a second content of a version from the platform by its lower revision (a platform that goes back would replace a sheet in force; the rule applies between accepted sheets only); counting a peer's push as an answer while learning (it may be older than the start); a constant fan-out of three (three times the idle traffic at the target size).

Result: the fault matrix of config_in_force passes at every step of a publication. Each of the switches accept_older_sheet, skip_learning and trust_after_pause makes a test fail under the feature mutations.

--- /dev/null
+++ b/crates/anvilhub-coord/src/configuration/candidate_sheet.rs
@@ -0,0 +1,30 @@
+use crate::ids::PlatformRevision;
+use crate::sheet::{CheckedSheet, SheetStamp};
+use crate::time::ClockTime;
+
+/// A checked sheet that is announced before it is accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct CandidateSheet {
+    pub(crate) sheet: CheckedSheet,
+    pub(crate) revision: PlatformRevision,
+    /// When it may be accepted; none until the instance has learned from its peers.
+    pub(crate) settles_at: Option<ClockTime>,
+}
+
+impl CandidateSheet {
+    pub(crate) fn new(sheet: CheckedSheet, revision: PlatformRevision) -> Self {
+        Self {
+            sheet,
+            revision,
+            settles_at: None,
+        }
+    }
+
+    pub(crate) fn stamp(&self) -> SheetStamp {
+        SheetStamp {
+            version: self.sheet.version,
+            revision: self.revision,
+            digest: self.sheet.digest,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/configuration/exchange_message.rs
@@ -0,0 +1,27 @@
+use serde::{Deserialize, Serialize};
+
+use crate::ids::UpstreamId;
+use crate::sheet::SheetStamp;
+
+use super::{PeerIdentity, PeerStage};
+
+/// State that two instances push and pull: request and reply have the same form.
+///
+/// Unknown fields are ignored, so that instances of two program versions can talk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExchangeMessage {
+    /// The sender.
+    #[serde(flatten)]
+    pub sender: PeerIdentity,
+    /// Life-cycle stage of the sender.
+    pub stage: PeerStage,
+    /// Sheet that the sender has in force.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted: Option<SheetStamp>,
+    /// Sheet that the sender is about to accept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub candidate: Option<SheetStamp>,
+    /// Upstreams that told the sender themselves that they are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<UpstreamId>,
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/configuration/fetch_error.rs
@@ -0,0 +1,32 @@
+use derive_more::{Display, Error};
+
+use crate::ids::{ServiceName, SheetDigest};
+use crate::sheet::SheetFault;
+
+/// Why a fetched sheet cannot be used.
+#[derive(Clone, Debug, PartialEq, Display, Error)]
+pub enum FetchError {
+    /// A service is neither in the reply nor held.
+    #[display(
+        "the reply lacks the service {service}, which is not held either; fetch from another peer"
+    )]
+    Missing {
+        /// Name of the service.
+        service: ServiceName,
+    },
+    /// The content differs from what the peer announced.
+    #[display("the content has digest {found} instead of {wanted}; fetch from another peer")]
+    Digest {
+        /// Digest that the peer announced.
+        wanted: SheetDigest,
+        /// Digest of the content.
+        found: SheetDigest,
+    },
+    /// The content does not pass the check.
+    #[display("the fetched sheet has {} faults, first {}; fetch from another peer", faults.len(), faults[0])]
+    Faults {
+        /// Faults of the sheet; at least one.
+        #[error(not(source))]
+        faults: Vec<SheetFault>,
+    },
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/configuration/sheet_fetch.rs
@@ -0,0 +1,134 @@
+use std::time::Duration;
+
+use crate::ids::InstanceId;
+use crate::sheet::{AcceptedSheet, SheetStamp};
+use crate::time::ClockTime;
+
+use super::pending_fetch::PendingFetch;
+use super::{FetchReply, FetchRequest, SheetAcceptor, SheetAction};
+
+/// Time between a failed fetch and the next one. Keeps a peer that fails at once from being asked in a loop.
+const FETCH_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Fetches of sheets from peers and for peers.
+impl SheetAcceptor {
+    /// The answer to a peer's fetch: the wanted sheet, or the one in force if the wanted one is not held.
+    pub fn serve_fetch(&self, request: &FetchRequest) -> Option<FetchReply> {
+        if let Some(candidate) = &self.candidate
+            && candidate.sheet.digest == request.digest
+            && self
+                .stamp()
+                .is_none_or(|stamp| stamp.digest != request.digest)
+        {
+            let stamp = candidate.stamp();
+            return Some(FetchReply::new(&candidate.sheet, stamp, false, request));
+        }
+        let in_force = self.in_force.as_ref()?;
+        let stamp = in_force.stamp();
+        Some(FetchReply::new(in_force.sheet(), stamp, true, request))
+    }
+
+    pub(super) fn fail_fetch(&mut self, now: ClockTime, peer: &InstanceId) {
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.peer == *peer) {
+            self.fetch = None;
+            self.fetch_from = now + FETCH_BACKOFF;
+            self.peers.count_fetch(peer, true);
+        }
+    }
+
+    pub(super) fn take_reply(
+        &mut self,
+        now: ClockTime,
+        peer: InstanceId,
+        reply: FetchReply,
+        actions: &mut Vec<SheetAction>,
+    ) {
+        let (stamp, accepted) = (reply.stamp, reply.accepted);
+        let held = self.in_force.as_ref().map(|sheet| sheet.sheet());
+        let sheet = match reply.assemble(held) {
+            Ok(sheet) => sheet,
+            Err(error) => {
+                self.fail_fetch(now, &peer);
+                let reason = error.to_string();
+                actions.push(SheetAction::DiscardAnswer { peer, reason });
+                return;
+            }
+        };
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.peer == peer) {
+            self.fetch = None;
+        }
+        self.peers.count_fetch(&peer, false);
+        self.peers.correct(&peer, stamp, accepted);
+        match accepted {
+            true => self.put_in_force(sheet.adopt(stamp.revision), actions),
+            false => self.offer(sheet, stamp.revision, actions),
+        }
+    }
+
+    pub(super) fn expire_fetch(&mut self, now: ClockTime) {
+        let expired = self.fetch.as_ref().filter(|fetch| now >= fetch.deadline);
+        if let Some(peer) = expired.map(|fetch| fetch.peer.clone()) {
+            self.fail_fetch(now, &peer);
+        }
+    }
+
+    pub(super) fn start_fetch(&mut self, now: ClockTime, actions: &mut Vec<SheetAction>) {
+        let Some((stamp, peer)) = self.wanted_sheet() else {
+            return;
+        };
+        if let Some(sheet) = self.held_content(stamp) {
+            self.put_in_force(sheet, actions);
+            return;
+        }
+        if self.fetch.is_some() || now < self.fetch_from {
+            return;
+        }
+        let held = self.in_force.as_ref().map(|sheet| sheet.sheet());
+        let request = FetchRequest::new(stamp.digest, held);
+        self.fetch = Some(PendingFetch {
+            peer: peer.clone(),
+            stamp,
+            deadline: now + self.settings.fetch_timeout,
+        });
+        actions.push(SheetAction::Fetch {
+            peer,
+            stamp,
+            request,
+        });
+    }
+
+    /// The sheet to take from a peer: one in force there that takes precedence over the own one, or else a
+    /// candidate that takes precedence over the own candidate.
+    fn wanted_sheet(&self) -> Option<(SheetStamp, InstanceId)> {
+        let accepted = self.peers.best_accepted();
+        if let Some((stamp, peer)) = accepted
+            && Some(stamp) > self.stamp()
+        {
+            return Some((stamp, peer));
+        }
+        let (stamp, peer) = self.peers.best_candidate()?;
+        let is_wanted = self.is_successor(stamp)
+            && Some(stamp) > self.candidate()
+            && !self.was_refused(stamp.digest);
+        is_wanted.then_some((stamp, peer))
+    }
+
+    fn is_successor(&self, stamp: SheetStamp) -> bool {
+        self.stamp().is_none_or(|own| stamp.version > own.version)
+    }
+
+    /// The sheet `stamp` of a peer, if the instance already holds its content.
+    fn held_content(&self, stamp: SheetStamp) -> Option<AcceptedSheet> {
+        let is_accepted = self.peers.best_accepted().map(|(best, _)| best) == Some(stamp);
+        if !is_accepted {
+            return None;
+        }
+        let in_force = self.in_force.as_ref().map(|sheet| sheet.sheet());
+        let candidate = self.candidate.as_ref().map(|candidate| &candidate.sheet);
+        in_force
+            .into_iter()
+            .chain(candidate)
+            .find(|sheet| sheet.digest == stamp.digest)
+            .map(|sheet| sheet.clone().adopt(stamp.revision))
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/src/configuration/sheet_offer.rs
@@ -0,0 +1,205 @@
+use crate::ids::{PlatformRevision, SheetDigest};
+use crate::mutation;
+use crate::sheet::{CheckedSheet, SheetFault, SheetStamp, SheetStep};
+use crate::time::ClockTime;
+
+use super::candidate_sheet::CandidateSheet;
+use super::{SheetAcceptor, SheetAction, SheetAlarm};
+
+/// A candidate that was refused, and the sheet in force at that time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    digest: SheetDigest,
+    in_force: Option<SheetStamp>,
+}
+
+impl SheetAcceptor {
+    /// Takes a value that the platform served.
+    pub(super) fn read_platform(
+        &mut self,
+        asked_at: ClockTime,
+        revision: PlatformRevision,
+        bytes: &[u8],
+        actions: &mut Vec<SheetAction>,
+    ) {
+        self.platform_down = false;
+        let sheet = match CheckedSheet::from_bytes(bytes) {
+            Ok(sheet) => sheet,
+            Err(faults) => {
+                actions.push(SheetAction::Refuse { revision, faults });
+                return;
+            }
+        };
+        let is_same = self
+            .stamp()
+            .is_some_and(|own| own.digest == sheet.digest && asked_at >= self.valid_from);
+        if is_same {
+            self.confirm();
+        }
+        self.platform_stale = self.stale_alarm(&sheet);
+        self.offer(sheet, revision, actions);
+    }
+
+    /// Makes `sheet` the candidate if it may succeed the sheet in force and the present candidate.
+    pub(super) fn offer(
+        &mut self,
+        sheet: CheckedSheet,
+        revision: PlatformRevision,
+        actions: &mut Vec<SheetAction>,
+    ) {
+        let candidate = CandidateSheet::new(sheet, revision);
+        let stamp = candidate.stamp();
+        if self.is_held(stamp.digest) || self.was_refused(stamp.digest) {
+            return;
+        }
+        if self.is_older(stamp) {
+            let version = stamp.version;
+            actions.push(SheetAction::IgnoreStale { revision, version });
+            return;
+        }
+        let faults = self.step_faults(&candidate.sheet, stamp);
+        if !faults.is_empty() {
+            self.refuse(stamp, faults, actions);
+            return;
+        }
+        if let Some(rival) = self.candidate.replace(candidate) {
+            self.report_rival(rival.stamp(), stamp, actions);
+        }
+    }
+
+    /// Accepts the settled candidate.
+    pub(super) fn accept_candidate(&mut self, actions: &mut Vec<SheetAction>) {
+        let Some(candidate) = self.candidate.take() else {
+            return;
+        };
+        let stamp = candidate.stamp();
+        if mutation::is_active("accept_older_sheet") {
+            self.put_in_force(candidate.sheet.adopt(stamp.revision), actions);
+            return;
+        }
+        let in_force = self.in_force.clone();
+        match candidate.sheet.accept(in_force.as_deref(), stamp.revision) {
+            Ok(sheet) => self.put_in_force(sheet, actions),
+            Err(faults) => self.refuse(stamp, faults, actions),
+        }
+    }
+
+    /// Checks the candidate against a sheet that was just put in force.
+    pub(super) fn recheck_candidate(&mut self, actions: &mut Vec<SheetAction>) {
+        let Some(candidate) = self.candidate.take() else {
+            return;
+        };
+        let stamp = candidate.stamp();
+        if self.is_held(stamp.digest) {
+            return;
+        }
+        if self.is_older(stamp) {
+            self.platform_stale = self.stale_alarm(&candidate.sheet);
+            actions.push(SheetAction::IgnoreStale {
+                revision: stamp.revision,
+                version: stamp.version,
+            });
+            return;
+        }
+        let faults = self.step_faults(&candidate.sheet, stamp);
+        if !faults.is_empty() {
+            self.refuse(stamp, faults, actions);
+            return;
+        }
+        self.candidate = Some(candidate);
+    }
+
+    /// Says whether the sheet `digest` was refused against the sheet that is in force now.
+    pub(super) fn was_refused(&self, digest: SheetDigest) -> bool {
+        let in_force = self.stamp();
+        self.refusal == Some(Refusal { digest, in_force })
+    }
+
+    fn refuse(
+        &mut self,
+        stamp: SheetStamp,
+        faults: Vec<SheetFault>,
+        actions: &mut Vec<SheetAction>,
+    ) {
+        self.refusal = Some(Refusal {
+            digest: stamp.digest,
+            in_force: self.stamp(),
+        });
+        let revision = stamp.revision;
+        actions.push(SheetAction::Refuse { revision, faults });
+    }
+
+    fn is_held(&self, digest: SheetDigest) -> bool {
+        let candidate = self.candidate();
+        let held = self.stamp().into_iter().chain(candidate);
+        held.into_iter().any(|stamp| stamp.digest == digest)
+    }
+
+    /// Says whether `stamp` is below the sheet in force or the candidate.
+    fn is_older(&self, stamp: SheetStamp) -> bool {
+        if mutation::is_active("accept_older_sheet") {
+            return false;
+        }
+        let versions = self.stamp().into_iter().chain(self.candidate());
+        versions.into_iter().any(|own| stamp.version < own.version)
+    }
+
+    fn step_faults(&mut self, sheet: &CheckedSheet, stamp: SheetStamp) -> Vec<SheetFault> {
+        if mutation::is_active("accept_older_sheet") {
+            return Vec::new();
+        }
+        let own = self.stamp();
+        let rival = self.candidate().filter(|rival| *rival > stamp);
+        let conflict = own
+            .into_iter()
+            .chain(rival)
+            .find(|other| other.conflicts_with(&stamp));
+        if let Some(other) = conflict {
+            self.conflict = Some(other);
+            return vec![conflict_fault(stamp, other)];
+        }
+        let Some(in_force) = &self.in_force else {
+            return Vec::new();
+        };
+        let step = SheetStep::new(in_force.sheet(), sheet);
+        step.check().err().unwrap_or_default()
+    }
+
+    /// Reports a candidate that gave way to another one of the same version.
+    fn report_rival(
+        &mut self,
+        rival: SheetStamp,
+        winner: SheetStamp,
+        actions: &mut Vec<SheetAction>,
+    ) {
+        if !rival.conflicts_with(&winner) {
+            return;
+        }
+        self.conflict = Some(winner);
+        actions.push(SheetAction::Refuse {
+            revision: rival.revision,
+            faults: vec![conflict_fault(rival, winner)],
+        });
+    }
+
+    fn stale_alarm(&self, sheet: &CheckedSheet) -> Option<SheetAlarm> {
+        let in_force = self.stamp()?.version;
+        let served = sheet.version;
+        (served < in_force).then_some(SheetAlarm::PlatformStale { served, in_force })
+    }
+}
+
+fn conflict_fault(stamp: SheetStamp, other: SheetStamp) -> SheetFault {
+    SheetFault::new(
+        "/version",
+        format!(
+            "version {} with content {} of revision {}",
+            stamp.version, stamp.digest, stamp.revision
+        ),
+        format!(
+            "one content for each version; revision {} has {}",
+            other.revision, other.digest
+        ),
+        "publish again under a higher version",
+    )
+}
--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -3,8 +3,10 @@
 //! Nothing here does I/O or reads a clock: time, randomness and observations are arguments.
 
 pub mod border;
+pub mod configuration;
 pub mod ids;
 pub mod keyspace;
+pub mod membership;
 pub mod mutation;
 pub mod sheet;
 pub mod time;
--- /dev/null
+++ b/crates/anvilhub-coord/src/membership/mod.rs
@@ -0,0 +1,14 @@
+//! Members of the fleet: who is live, who owns a shard, whom to exchange state with.
+
+mod gossip_plan;
+mod member_entry;
+mod member_state;
+mod member_table;
+mod rendezvous_hash;
+mod shard_owner;
+
+pub use gossip_plan::GossipPlan;
+pub use member_state::MemberState;
+pub use member_table::MemberTable;
+pub use rendezvous_hash::RendezvousHash;
+pub use shard_owner::ShardOwner;
--- /dev/null
+++ b/crates/anvilhub-coord/src/membership/shard_owner.rs
@@ -0,0 +1,56 @@
+use std::cmp::Reverse;
+
+use crate::ids::{InstanceId, ServiceName, ShardName};
+
+use super::RendezvousHash;
+
+/// Which instance queues for a shard, by rendezvous hashing over the live members.
+///
+/// Two instances that know different members may name different owners. Slots are then counted less
+/// accurately; nothing else depends on it.
+#[derive(Clone, Debug, Default)]
+pub struct ShardOwner {
+    members: Vec<(RendezvousHash, InstanceId)>,
+}
+
+impl ShardOwner {
+    /// Owners among `members`.
+    pub fn new(members: impl IntoIterator<Item = InstanceId>) -> Self {
+        let members = members
+            .into_iter()
+            .map(|id| (RendezvousHash::of_member(id.as_str()), id))
+            .collect();
+        Self { members }
+    }
+
+    /// The owner of a shard; none when there are no members.
+    pub fn owner(&self, service: &ServiceName, shard: &ShardName) -> Option<&InstanceId> {
+        let key = key_of(service, shard);
+        let best = self
+            .members
+            .iter()
+            .max_by_key(|(hash, id)| (hash.score(key), id));
+        best.map(|(_, id)| id)
+    }
+
+    /// The owner of a shard and the next `count - 1` instances to ask when it does not answer.
+    pub fn candidates(
+        &self,
+        service: &ServiceName,
+        shard: &ShardName,
+        count: usize,
+    ) -> Vec<&InstanceId> {
+        let key = key_of(service, shard);
+        let mut ranked: Vec<(u64, &InstanceId)> = self
+            .members
+            .iter()
+            .map(|(hash, id)| (hash.score(key), id))
+            .collect();
+        ranked.sort_unstable_by_key(|candidate| Reverse(*candidate));
+        ranked.into_iter().take(count).map(|(_, id)| id).collect()
+    }
+}
+
+fn key_of(service: &ServiceName, shard: &ShardName) -> RendezvousHash {
+    RendezvousHash::of_key(&["shard", service.as_str(), shard.as_str()])
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/matrix/config_in_force.rs
@@ -0,0 +1,260 @@
+//! Guards against an accepted sheet that does not come into force everywhere, or that reverts.
+//!
+//! Every fault begins at every step of the publication of version 2 and ends later. `Fleet` checks at each
+//! step that nothing goes back; each test checks that version 2 is in force everywhere in the end.
+
+use std::time::Duration;
+
+use anvilhub_coord::configuration::SheetInput;
+use anvilhub_coord::ids::InstanceId;
+
+use crate::fleet::{Fleet, id};
+
+/// Steps of 100 ms from the publication to the time at which it is in force without a fault.
+const PUBLICATION_STEPS: usize = 14;
+
+/// Time within which an accepted sheet must be in force everywhere, from the design page.
+const SPREAD_LIMIT: Duration = Duration::from_secs(11);
+
+const FAULT_LENGTH: Duration = Duration::from_secs(3);
+
+fn names() -> [InstanceId; 3] {
+    ["a", "b", "c"].map(id)
+}
+
+/// Three instances with version 1 in force.
+fn settled_fleet() -> Fleet {
+    let mut fleet = Fleet::new(&["a", "b", "c"]);
+    fleet.publish(10, 1, 0);
+    fleet.run(Duration::from_secs(3));
+    assert!(
+        names()
+            .iter()
+            .all(|name| fleet.version(name) == Some(1) && fleet.is_ready(name))
+    );
+    fleet
+}
+
+/// Publishes version 2, begins a fault at every step in turn, ends it, and expects version 2 everywhere.
+fn at_every_step(begin: impl Fn(&mut Fleet), end: impl Fn(&mut Fleet)) {
+    for step in 0..PUBLICATION_STEPS {
+        let mut fleet = settled_fleet();
+        fleet.publish(11, 2, 0);
+        for _ in 0..step {
+            fleet.step();
+        }
+        begin(&mut fleet);
+        fleet.run(FAULT_LENGTH);
+        end(&mut fleet);
+        fleet.run(SPREAD_LIMIT);
+        for name in names() {
+            assert_eq!(
+                fleet.version(&name),
+                Some(2),
+                "{name}, fault at step {step}"
+            );
+            assert!(fleet.is_ready(&name), "{name}, fault at step {step}");
+        }
+        assert_eq!(fleet.stamps().len(), 1, "fault at step {step}");
+    }
+}
+
+#[test]
+fn config_down() {
+    at_every_step(
+        |fleet| fleet.platform = None,
+        |fleet| fleet.publish(11, 2, 0),
+    );
+}
+
+#[test]
+fn config_down_after_acceptance() {
+    // The platform stays away: what one instance accepted still reaches the others.
+    let mut fleet = settled_fleet();
+    fleet.cut(&id("a"), &id("b"));
+    fleet.cut(&id("a"), &id("c"));
+    fleet.publish(11, 2, 0);
+    for _ in 0..6 {
+        fleet.read(&id("a"));
+        fleet.run(Duration::from_millis(100));
+    }
+    fleet.platform = None;
+    fleet.cuts.clear();
+    fleet.run(SPREAD_LIMIT);
+    assert!(names().iter().all(|name| fleet.version(name) == Some(2)));
+}
+
+#[test]
+fn config_stale() {
+    at_every_step(
+        |fleet| fleet.publish(9, 1, 7),
+        |fleet| fleet.publish(12, 2, 0),
+    );
+}
+
+#[test]
+fn config_stale_after_acceptance() {
+    // The platform goes back for good: all keep the accepted sheet, a restarted instance too.
+    let mut fleet = settled_fleet();
+    fleet.publish(11, 2, 0);
+    fleet.run(Duration::from_secs(2));
+    fleet.publish(10, 1, 0);
+    fleet.run(Duration::from_secs(2));
+    for name in names() {
+        fleet.kill(&name);
+        fleet.run(Duration::from_millis(300));
+        fleet.start(&name);
+        fleet.run(Duration::from_secs(3));
+    }
+    assert!(
+        names()
+            .iter()
+            .all(|name| fleet.version(name) == Some(2) && fleet.is_ready(name))
+    );
+}
+
+#[test]
+fn instance_killed() {
+    for name in names() {
+        at_every_step(|fleet| fleet.kill(&name), |fleet| fleet.start(&name));
+    }
+}
+
+#[test]
+fn instance_killed_with_stale_platform() {
+    // Two faults together: an instance restarts while the platform serves the old sheet.
+    for name in names() {
+        at_every_step(
+            |fleet| {
+                fleet.kill(&name);
+                fleet.publish(10, 1, 0);
+                fleet.start(&name);
+            },
+            |fleet| fleet.publish(11, 2, 0),
+        );
+    }
+}
+
+#[test]
+fn planned_stop() {
+    // A rolling restart during the publication: every instance stops and starts once.
+    at_every_step(
+        |fleet| {
+            for name in names() {
+                fleet.kill(&name);
+                fleet.step();
+                fleet.start(&name);
+                fleet.run(Duration::from_secs(2));
+            }
+        },
+        |_| {},
+    );
+}
+
+#[test]
+fn process_paused() {
+    for name in names() {
+        at_every_step(
+            |fleet| fleet.pause(&name),
+            |fleet| {
+                fleet.resume(&name);
+                assert_eq!(
+                    fleet.version(&name),
+                    Some(2),
+                    "{name} is behind after the pause"
+                );
+            },
+        );
+    }
+}
+
+#[test]
+fn paused_and_cut_off() {
+    // An instance that resumes without any contact must not be ready: its sheet may be old.
+    let mut fleet = settled_fleet();
+    fleet.pause(&id("a"));
+    fleet.publish(11, 2, 0);
+    fleet.run(Duration::from_secs(2));
+    fleet.cut(&id("a"), &id("b"));
+    fleet.cut(&id("a"), &id("c"));
+    fleet.platform = None;
+    fleet.resume(&id("a"));
+    fleet.run(Duration::from_secs(2));
+    assert!(!fleet.is_ready(&id("a")));
+    fleet.cuts.clear();
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.version(&id("a")), Some(2));
+    assert!(fleet.is_ready(&id("a")));
+}
+
+#[test]
+fn entry_partition() {
+    at_every_step(
+        |fleet| {
+            fleet.cut(&id("a"), &id("b"));
+            fleet.cut(&id("a"), &id("c"));
+        },
+        |fleet| fleet.cuts.clear(),
+    );
+}
+
+#[test]
+fn entry_partition_with_stale_platform() {
+    // An instance that restarts without contact to its peers must not start by the platform's old sheet.
+    at_every_step(
+        |fleet| {
+            fleet.kill(&id("a"));
+            fleet.cut(&id("a"), &id("b"));
+            fleet.cut(&id("a"), &id("c"));
+            fleet.publish(10, 1, 0);
+            fleet.start(&id("a"));
+            fleet.run(FAULT_LENGTH);
+            assert_eq!(fleet.version(&id("a")), None);
+        },
+        |fleet| {
+            fleet.cuts.clear();
+            fleet.publish(11, 2, 0);
+        },
+    );
+}
+
+#[test]
+fn entry_partition_with_two_contents() {
+    // Both sides of a partition accept version 2 with different contents; after it all have the one of
+    // the lower revision.
+    let mut fleet = settled_fleet();
+    fleet.cut(&id("a"), &id("b"));
+    fleet.cut(&id("a"), &id("c"));
+    fleet.publish(11, 2, 1);
+    for _ in 0..8 {
+        fleet.read(&id("a"));
+        fleet.input(&id("a"), SheetInput::Tick);
+        fleet.now = fleet.now + Duration::from_millis(100);
+    }
+    fleet.publish(12, 2, 2);
+    fleet.run(Duration::from_secs(2));
+    assert_eq!(fleet.stamps().len(), 2);
+    fleet.cuts.clear();
+    fleet.run(SPREAD_LIMIT);
+    let stamps = fleet.stamps();
+    assert_eq!(stamps.len(), 1);
+    assert_eq!(stamps.first().unwrap().unwrap().revision.get(), 11);
+}
+
+#[test]
+fn lagging_list() {
+    // The list names an instance that is gone, and lacks one that runs.
+    at_every_step(
+        |fleet| fleet.set_listed([id("a"), id("b"), id("gone")].into()),
+        |fleet| fleet.set_listed(names().into()),
+    );
+}
+
+#[test]
+fn lost_fetches() {
+    // Connections to peers that go silent during a fetch.
+    at_every_step(
+        |fleet| fleet.lost_fetches = 5,
+        |fleet| fleet.lost_fetches = 0,
+    );
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/member_table.rs
@@ -0,0 +1,107 @@
+//! Guards against a lagging list that sends work to instances that are gone, or hides those that run.
+
+use std::time::Duration;
+
+use anvilhub_coord::border::platform::{InstanceEntry, InstanceList, InstanceRole, InstanceState};
+use anvilhub_coord::configuration::PeerIdentity;
+use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformRevision};
+use anvilhub_coord::membership::{MemberState, MemberTable};
+use anvilhub_coord::time::ClockTime;
+
+use crate::fleet::id;
+
+fn at(seconds: u64) -> ClockTime {
+    ClockTime::from_millis(seconds * 1_000)
+}
+
+fn list(revision: u64, members: &[(&str, InstanceState)]) -> InstanceList {
+    let entry = |(name, state): &(&str, InstanceState)| InstanceEntry {
+        address: "127.0.0.1:7301".to_owned(),
+        id: id(name),
+        operator_address: None,
+        peer_address: Some("127.0.0.1:7401".to_owned()),
+        role: InstanceRole::Entry,
+        state: *state,
+    };
+    InstanceList {
+        instances: members.iter().map(entry).collect(),
+        revision: PlatformRevision(revision),
+    }
+}
+
+fn identity(name: &str) -> PeerIdentity {
+    PeerIdentity {
+        instance: id(name),
+        incarnation: Incarnation(1),
+        peer_address: "127.0.0.1:7402".parse().unwrap(),
+        failure_domain: "domain-b".parse().unwrap(),
+    }
+}
+
+fn live(table: &MemberTable, now: ClockTime) -> Vec<InstanceId> {
+    table.live(now).cloned().collect()
+}
+
+const LIVE: InstanceState = InstanceState::Live;
+
+#[test]
+fn evidence_over_list() {
+    let mut table = MemberTable::new(id("a"), []);
+    table.apply_list(&list(5, &[("a", LIVE), ("b", LIVE), ("c", LIVE)]), at(1));
+    assert_eq!(live(&table, at(1)), [id("b"), id("c")]);
+
+    table.observe_refused(&id("b"), at(2));
+    table.observe_silent(&id("c"), at(2));
+    assert_eq!(table.state(&id("b"), at(2)), MemberState::Absent);
+    assert_eq!(table.state(&id("c"), at(2)), MemberState::Silent);
+    // The list still names both; both stay gossip partners, since only contact shows who came back.
+    table.apply_list(&list(6, &[("b", LIVE), ("c", LIVE)]), at(3));
+    assert_eq!(live(&table, at(3)), []);
+    assert_eq!(table.peers().count(), 2);
+
+    table.observe_answer(&identity("b"), false, at(4));
+    table.observe_answer(&identity("c"), true, at(4));
+    assert_eq!(live(&table, at(4)), [id("b")]);
+    assert_eq!(table.state(&id("c"), at(4)), MemberState::Leaving);
+}
+
+#[test]
+fn unlisted_instance() {
+    let mut table = MemberTable::new(id("a"), []);
+    table.apply_list(&list(5, &[("b", LIVE)]), at(1));
+    table.observe_answer(&identity("d"), false, at(2));
+    assert_eq!(live(&table, at(3)), [id("b"), id("d")]);
+    assert_eq!(table.state(&id("d"), at(60)), MemberState::Absent);
+    // A starting instance waits for listed peers only.
+    assert_eq!(table.expected(), Some([id("b")].into()));
+}
+
+#[test]
+fn leaving_instance() {
+    let mut table = MemberTable::new(id("a"), []);
+    table.apply_list(&list(5, &[("b", InstanceState::Leaving)]), at(1));
+    table.observe_answer(&identity("b"), false, at(2));
+    assert_eq!(table.state(&id("b"), at(2)), MemberState::Leaving);
+}
+
+#[test]
+fn backward_list() {
+    let mut table = MemberTable::new(id("a"), []);
+    table.apply_list(&list(9, &[("b", LIVE)]), at(1));
+    table.apply_list(&list(3, &[("old", LIVE)]), at(2));
+    assert_eq!(live(&table, at(2)), [id("b")]);
+    assert_eq!(table.list_age(at(10)), Some(Duration::from_secs(9)));
+    // A platform that lost its data counts from a low revision: it is followed in the end.
+    table.apply_list(&list(4, &[("c", LIVE)]), at(40));
+    assert_eq!(live(&table, at(40)), [id("c")]);
+}
+
+#[test]
+fn unknown_list() {
+    let mut table = MemberTable::new(id("a"), []);
+    assert_eq!(table.expected(), None);
+    let mut unusable = list(1, &[("b", LIVE)]);
+    unusable.instances[0].peer_address = Some("peer.example:7401".to_owned());
+    assert_eq!(table.apply_list(&unusable, at(1)), [id("b")]);
+    assert_eq!(table.expected(), Some([].into()));
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/shard_owners.rs
@@ -0,0 +1,98 @@
+//! Guards against owners that instances disagree on, that move without need, or that are unevenly loaded.
+
+use std::collections::BTreeMap;
+
+use anvilhub_coord::configuration::ReaderElection;
+use anvilhub_coord::ids::{FailureDomain, InstanceId, ServiceName, ShardName};
+use anvilhub_coord::membership::ShardOwner;
+
+fn members(count: usize) -> Vec<InstanceId> {
+    (0..count)
+        .map(|index| format!("entry-{index}").parse().unwrap())
+        .collect()
+}
+
+fn shards() -> Vec<(ServiceName, ShardName)> {
+    (0..400)
+        .map(|index| {
+            (
+                "stock".parse().unwrap(),
+                format!("shard-{index}").parse().unwrap(),
+            )
+        })
+        .collect()
+}
+
+#[test]
+fn order_is_irrelevant() {
+    let forward = ShardOwner::new(members(8));
+    let backward = ShardOwner::new(members(8).into_iter().rev());
+    for (service, shard) in shards() {
+        assert_eq!(
+            forward.owner(&service, &shard),
+            backward.owner(&service, &shard)
+        );
+        let candidates = forward.candidates(&service, &shard, 3);
+        assert_eq!(Some(candidates[0]), forward.owner(&service, &shard));
+    }
+}
+
+#[test]
+fn only_lost_shards_move() {
+    let before = ShardOwner::new(members(8));
+    let after = ShardOwner::new(members(8).into_iter().skip(1));
+    for (service, shard) in shards() {
+        let candidates = before.candidates(&service, &shard, 2);
+        let heir = match candidates[0].as_str() {
+            "entry-0" => candidates[1],
+            _ => candidates[0],
+        };
+        assert_eq!(after.owner(&service, &shard), Some(heir));
+    }
+}
+
+#[test]
+fn even_load() {
+    let owners = ShardOwner::new(members(8));
+    let mut counts: BTreeMap<&InstanceId, usize> = BTreeMap::new();
+    let shards = shards();
+    for (service, shard) in &shards {
+        *counts
+            .entry(owners.owner(service, shard).unwrap())
+            .or_default() += 1;
+    }
+    // 50 shards each on average; the hash is fixed, so the bound cannot fail by chance.
+    assert_eq!(counts.len(), 8);
+    assert!(
+        counts.values().all(|count| (30..=75).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn readers_of_domain() {
+    let election = ReaderElection::default();
+    let domains: Vec<FailureDomain> = ["domain-a", "domain-b"]
+        .map(|name| name.parse().unwrap())
+        .into();
+    let fleet: Vec<(InstanceId, FailureDomain)> = members(200)
+        .into_iter()
+        .enumerate()
+        .map(|(index, member)| (member, domains[index % 2].clone()))
+        .collect();
+    let readers = |known: usize| {
+        let is_reader = |own: &InstanceId, domain: &FailureDomain| {
+            let members = fleet.iter().enumerate();
+            let members =
+                members.map(|(index, (id, domain))| (id, (index < known).then_some(domain)));
+            election.is_reader(own, domain, members)
+        };
+        fleet
+            .iter()
+            .filter(|(own, domain)| is_reader(own, domain))
+            .count()
+    };
+    assert_eq!(readers(200), 6);
+    // Without knowledge of the domains everyone reads: too many readers, never none.
+    assert_eq!(readers(0), 200);
+}
