--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -2,11 +2,16 @@
 //!
 //! Nothing here does I/O or reads a clock: time, randomness and observations are arguments.
 
+pub mod admission;
 pub mod border;
 pub mod configuration;
+pub mod connection;
+pub mod gather;
 pub mod ids;
 pub mod keyspace;
 pub mod membership;
 pub mod mutation;
+pub mod routing;
 pub mod sheet;
+pub mod ticket;
 pub mod time;
