Add load tool that compares the decisions with a baseline

Cause: routing and admission need figures before their constants can be chosen. Change: anvilhub-bench runs the decisions over fake upstreams in virtual time, with open-loop arrivals that are the same for every variant, five scenarios, both deployments at their sizes, the permanent baseline and four ways to coordinate entries. ReplicaCandidate says whether a replica has a free connection. Ruled out: real sockets, since a loaded machine would then decide the result.

--- a/crates/anvilhub-coord/src/connection/connection_ledger.rs
+++ b/crates/anvilhub-coord/src/connection/connection_ledger.rs
@@ -73,6 +73,15 @@
         self.connections.len() as u32 + self.opening
     }
 
+    /// Says whether `acquire` would answer `Wait`.
+    pub fn is_full(&self) -> bool {
+        self.held() >= self.share
+            && self
+                .connections
+                .values()
+                .all(|record| waiting_since(record).is_some())
+    }
+
     /// State of a connection, `None` when it is not held.
     pub fn state(&self, id: ConnectionId) -> Option<ConnectionState> {
         self.connections.get(&id).map(|record| record.state)
--- a/crates/anvilhub-coord/src/routing/replica_picker.rs
+++ b/crates/anvilhub-coord/src/routing/replica_picker.rs
@@ -35,6 +35,9 @@
     /// All replicas that may be used were tried.
     #[display("every usable replica was tried; report the shard as missing")]
     AllTried,
+    /// No connection to a usable replica is free.
+    #[display("no connection to a usable replica is free; wait for one")]
+    AllFull,
 }
 
 /// The choice of one replica.
@@ -69,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when every replica is leaving, or was tried already.
+    /// Fails when every replica is leaving, was tried already, or has no free connection.
     pub fn pick(
         &self,
         candidates: &[ReplicaCandidate],
@@ -86,12 +89,16 @@
             return Err(PickError::AllLeaving);
         }
         let untried = select(candidates, staying, |candidate| !candidate.tried);
+        if untried.is_empty() {
+            return Err(PickError::AllTried);
+        }
+        let untried = select(candidates, untried, |candidate| !candidate.full);
         let healthy = select(candidates, untried.iter().copied(), |candidate| {
             !candidate.load.ejected
         });
         let hedge = further == Some(AttemptKind::Hedge);
         match (healthy.as_slice(), untried.as_slice()) {
-            (_, []) => Err(PickError::AllTried),
+            (_, []) => Err(PickError::AllFull),
             ([], _) if hedge => Err(PickError::AllTried),
             ([], ejected) => Ok(ReplicaChoice {
                 index: self.compare(candidates, ejected, rng).index,
--- a/crates/anvilhub-coord/src/routing/upstream_load.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_load.rs
@@ -22,4 +22,6 @@
     pub same_domain: bool,
     /// Whether an earlier attempt of the sub-request went to this replica.
     pub tried: bool,
+    /// Whether this instance has no free connection to the replica.
+    pub full: bool,
 }
--- /dev/null
+++ b/crates/anvilhub-dev/src/bench/event_queue.rs
@@ -0,0 +1,29 @@
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use anvilhub_coord::time::ClockTime;
+
+/// Events in order of time, then of insertion.
+pub(crate) struct EventQueue<E> {
+    heap: BinaryHeap<Reverse<(ClockTime, u64, E)>>,
+    inserted: u64,
+}
+
+impl<E: Ord> EventQueue<E> {
+    pub(crate) fn new() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            inserted: 0,
+        }
+    }
+
+    pub(crate) fn push(&mut self, time: ClockTime, event: E) {
+        self.inserted += 1;
+        self.heap.push(Reverse((time, self.inserted, event)));
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<(ClockTime, E)> {
+        let Reverse((time, _, event)) = self.heap.pop()?;
+        Some((time, event))
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-dev/src/bench/fake_entry.rs
@@ -0,0 +1,198 @@
+use std::time::Duration;
+
+use anvilhub_coord::admission::{AdmissionGate, AdmissionSettings};
+use anvilhub_coord::connection::{ConnectionId, ConnectionLedger, ConnectionPlan, ConnectionShare};
+use anvilhub_coord::ids::{ConnectionLimit, SlotCount};
+use anvilhub_coord::routing::{
+    AttemptKind, EjectionCandidate, EjectionPolicy, HedgePolicy, LatencyWindow, OwnerHealth,
+    PickError, ReplicaCandidate, ReplicaChoice, ReplicaPicker, RetryBudget, SlotQueue,
+    UpstreamView,
+};
+use anvilhub_coord::sheet::RepeatPolicy;
+use anvilhub_coord::time::ClockTime;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::{Coordination, Desk, Variant};
+
+/// Sub-requests that may wait for the slots of one shard.
+const SLOT_QUEUE_CAPACITY: usize = 256;
+/// Least time that a sub-request needs: the round trip and a short service time.
+const LEAST_TIME: Duration = Duration::from_millis(6);
+/// Extra load and hedge quantile of the default `RoutePolicy`.
+const EXTRA_LOAD: f64 = 0.05;
+const HEDGE_QUANTILE: f64 = 0.95;
+
+/// The decisions of one entry instance, as the daemon holds them.
+pub(crate) struct FakeEntry {
+    pub(crate) domain: usize,
+    pub(crate) gate: AdmissionGate<usize>,
+    pub(crate) queues: Vec<SlotQueue<usize>>,
+    pub(crate) views: Vec<UpstreamView>,
+    pub(crate) ledgers: Vec<ConnectionLedger>,
+    pub(crate) windows: Vec<LatencyWindow>,
+    pub(crate) service_window: LatencyWindow,
+    pub(crate) budget: RetryBudget,
+    pub(crate) owners: Vec<OwnerHealth>,
+    turns: Vec<usize>,
+    slots: Vec<u32>,
+    connections_opened: u64,
+    replicas: usize,
+    baseline: bool,
+    rng: SmallRng,
+}
+
+impl FakeEntry {
+    pub(crate) fn new(
+        rank: usize,
+        entries: usize,
+        desk: &Desk,
+        variant: Variant,
+        seed: u64,
+    ) -> Self {
+        let count = desk.shards * desk.replicas;
+        let share = ConnectionShare::new(entries as u32);
+        let limit = ConnectionLimit(desk.connections);
+        let owned = |shard: usize| shard % entries == rank;
+        let connections = |shard: usize| match (variant.coordination, variant.baseline) {
+            (_, true) => desk.connections,
+            (Coordination::Owner, _) if owned(shard) => share.owner(limit, rank as u32),
+            (Coordination::Owner, _) => share.bypass(limit, rank as u32),
+            _ => share.direct(limit, rank as u32),
+        };
+        let shard_slots = desk.slots * desk.replicas as u32;
+        let slots = |shard: usize| match variant.coordination {
+            Coordination::Owner if owned(shard) => shard_slots,
+            Coordination::SlotShare => (shard_slots / entries as u32).max(1),
+            _ => connections(shard) * desk.replicas as u32,
+        };
+        let slots: Vec<u32> = (0..desk.shards).map(slots).collect();
+        let settings = AdmissionSettings {
+            initial_limit: (shard_slots / entries as u32).max(2),
+            ..AdmissionSettings::default()
+        };
+        Self {
+            domain: rank % 3,
+            gate: AdmissionGate::new(settings),
+            queues: slots
+                .iter()
+                .map(|&slots| SlotQueue::new(SlotCount(slots), SLOT_QUEUE_CAPACITY, LEAST_TIME))
+                .collect(),
+            views: vec![UpstreamView::default(); count],
+            ledgers: (0..count)
+                .map(|upstream| ConnectionLedger::new(connections(upstream / desk.replicas)))
+                .collect(),
+            windows: vec![LatencyWindow::default(); desk.shards],
+            service_window: LatencyWindow::default(),
+            budget: RetryBudget::new(EXTRA_LOAD),
+            owners: vec![OwnerHealth::default(); entries],
+            turns: vec![rank; desk.shards],
+            slots,
+            connections_opened: 0,
+            replicas: desk.replicas,
+            baseline: variant.baseline,
+            rng: SmallRng::seed_from_u64(seed ^ rank as u64),
+        }
+    }
+
+    /// Chooses the upstream for an attempt; `domains` holds the failure domain of every upstream.
+    pub(crate) fn choose(
+        &mut self,
+        now: ClockTime,
+        shard: usize,
+        kind: Option<AttemptKind>,
+        tried: &[usize],
+        domains: &[usize],
+    ) -> Result<usize, PickError> {
+        let first = shard * self.replicas;
+        if self.baseline {
+            self.turns[shard] += 1;
+            return Ok(first + self.turns[shard] % self.replicas);
+        }
+        let candidates: Vec<ReplicaCandidate> = (first..first + self.replicas)
+            .map(|upstream| ReplicaCandidate {
+                load: self.views[upstream].load(now),
+                same_domain: domains[upstream] == self.domain,
+                tried: tried.contains(&upstream),
+                full: self.ledgers[upstream].is_full(),
+            })
+            .collect();
+        let ReplicaChoice { index, .. } =
+            ReplicaPicker::default().pick(&candidates, kind, &mut self.rng)?;
+        Ok(first + index)
+    }
+
+    /// Takes a connection and returns it with the time until it can carry the request.
+    pub(crate) fn connect(
+        &mut self,
+        now: ClockTime,
+        upstream: usize,
+        repeat: RepeatPolicy,
+        opening: Duration,
+    ) -> (ConnectionId, Duration) {
+        let ledger = &mut self.ledgers[upstream];
+        match ledger.acquire(now, repeat) {
+            ConnectionPlan::Use(id) => (id, Duration::ZERO),
+            ConnectionPlan::Probe(id) => (id, Duration::from_millis(3)),
+            ConnectionPlan::Open | ConnectionPlan::Replace(_) | ConnectionPlan::Wait => {
+                self.connections_opened += 1;
+                let id = ConnectionId(self.connections_opened);
+                ledger.opened(now, id);
+                (id, opening)
+            }
+        }
+    }
+
+    /// Time after which a first attempt is hedged.
+    pub(crate) fn hedge_delay(&self, shard: usize) -> Option<Duration> {
+        HedgePolicy::new(HEDGE_QUANTILE).delay(&self.windows[shard], &self.service_window)
+    }
+
+    /// Adds a latency, or a wait that was cut short.
+    pub(crate) fn record(&mut self, now: ClockTime, shard: usize, latency: Duration) {
+        self.windows[shard].record(now, latency);
+        self.service_window.record(now, latency);
+    }
+
+    /// Ejects slow upstreams among `shards` and returns items to start or fail after slots changed.
+    pub(crate) fn eject(&mut self, now: ClockTime, shards: &[usize]) {
+        let upstreams: Vec<usize> = shards
+            .iter()
+            .flat_map(|shard| shard * self.replicas..(shard + 1) * self.replicas)
+            .collect();
+        let candidates: Vec<EjectionCandidate> = upstreams
+            .iter()
+            .map(|&upstream| EjectionCandidate {
+                shard: upstream / self.replicas,
+                latency: self.views[upstream].latency(),
+                samples: self.views[upstream].samples(),
+                failures: self.views[upstream].failures(),
+                leaving: false,
+                ejected: self.views[upstream].is_ejected(now),
+            })
+            .collect();
+        for index in EjectionPolicy.plan(&candidates) {
+            self.views[upstreams[index]].eject(now);
+        }
+    }
+
+    /// Takes over the slots and connections of a shard whose owner is gone.
+    pub(crate) fn own(&mut self, shard: usize, desk: &Desk, rank: usize, entries: usize) {
+        self.slots[shard] = desk.slots * desk.replicas as u32;
+        let share = ConnectionShare::new(entries as u32);
+        let connections = share.owner(ConnectionLimit(desk.connections), rank as u32);
+        for upstream in shard * self.replicas..(shard + 1) * self.replicas {
+            self.ledgers[upstream].set_share(connections);
+        }
+    }
+
+    /// Slots of `shard` at replicas that are not ejected.
+    pub(crate) fn usable_slots(&self, now: ClockTime, shard: usize) -> SlotCount {
+        let first = shard * self.replicas;
+        let usable = (first..first + self.replicas)
+            .filter(|&upstream| !self.views[upstream].is_ejected(now))
+            .count() as u32;
+        let slots = self.slots[shard] * usable / self.replicas as u32;
+        SlotCount(slots.max(1))
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-dev/src/bin/anvilhub-bench.rs
@@ -0,0 +1,144 @@
+//! Load tool: compares the decisions of the tier with a permanent baseline in virtual time.
+
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::thread;
+
+use anvilhub_dev::bench::{
+    Deployment, Driver, LoadTally, Results, Scenario, Variant, write_csv, write_summary,
+    write_table,
+};
+use eyre::{Result, WrapErr, bail};
+use lexopt::prelude::*;
+
+const HELP: &str = "\
+anvilhub-bench: measures the tier's decisions against the baseline in virtual time
+
+Options:
+  --seed N          seed of arrivals and service times (default 1)
+  --scenario NAME   one of steady, slowed, misleading, peak, domain_lost (default: all)
+  --variant NAME    compare only this variant with the baseline (default: all)
+  --by-desk         one table per service instead of one per deployment
+  --plot FILE       write goodput and load over time as CSV
+  --help            print this text";
+
+struct Options {
+    seed: u64,
+    scenarios: Vec<Scenario>,
+    variants: Vec<Variant>,
+    by_desk: bool,
+    plot: Option<PathBuf>,
+}
+
+fn main() -> Result<()> {
+    let Some(options) = parse()? else {
+        println!("{HELP}");
+        return Ok(());
+    };
+    let mut out = io::stdout().lock();
+    let mut plot = match &options.plot {
+        Some(path) => Some(File::create(path).wrap_err("choose a writable file for --plot")?),
+        None => None,
+    };
+    if let Some(plot) = &mut plot {
+        writeln!(
+            plot,
+            "deployment,scenario,variant,seconds,arrived,good,needed,sent"
+        )?;
+    }
+    writeln!(out, "seed {}", options.seed)?;
+    for deployment in Deployment::all() {
+        let tables: Vec<(String, Vec<usize>)> = match options.by_desk {
+            true => (0..4)
+                .map(|desk| (deployment.desks[desk].name.to_owned(), vec![desk]))
+                .collect(),
+            false => vec![(deployment.name.to_owned(), vec![0, 1, 2, 3])],
+        };
+        for (name, desks) in tables {
+            let results = measure(&deployment, &desks, &options);
+            write_table(&mut out, &name, &results)?;
+            if options.scenarios.len() == Scenario::ALL.len() {
+                for variant in options.variants.iter().filter(|each| !each.baseline) {
+                    write_summary(&mut out, &results, variant.name)?;
+                }
+            }
+            if let Some(plot) = &mut plot {
+                write_csv(plot, &name, &results)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Runs every scenario and variant; one thread per scenario, since runs share nothing.
+fn measure(deployment: &Deployment, desks: &[usize], options: &Options) -> Results {
+    let run = |scenario: Scenario, variant: Variant| {
+        let mut tally = LoadTally::default();
+        for &desk in desks {
+            let seed = options.seed.wrapping_add(desk as u64 * 1_000);
+            let driver = Driver::new(
+                deployment.desks[desk],
+                deployment.caller_latency,
+                scenario,
+                variant,
+                seed,
+            );
+            tally.merge(&driver.run());
+        }
+        ((scenario, variant.name), tally)
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = options
+            .scenarios
+            .iter()
+            .map(|&scenario| {
+                let variants = &options.variants;
+                scope.spawn(move || -> Vec<_> {
+                    variants
+                        .iter()
+                        .map(|&variant| run(scenario, variant))
+                        .collect()
+                })
+            })
+            .collect();
+        threads
+            .into_iter()
+            .flat_map(|thread| thread.join().expect("a run does not panic"))
+            .collect()
+    })
+}
+
+fn parse() -> Result<Option<Options>> {
+    let mut options = Options {
+        seed: 1,
+        scenarios: Scenario::ALL.to_vec(),
+        variants: Variant::ALL.to_vec(),
+        by_desk: false,
+        plot: None,
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("scenario") => {
+                let name = parser.value()?.string()?;
+                options.scenarios.retain(|each| each.to_string() == name);
+            }
+            Long("variant") => {
+                let name = parser.value()?.string()?;
+                options
+                    .variants
+                    .retain(|each| each.baseline || each.name == name);
+            }
+            Long("by-desk") => options.by_desk = true,
+            Long("plot") => options.plot = Some(parser.value()?.into()),
+            Long("help") | Short('h') => return Ok(None),
+            other => return Err(other.unexpected()).wrap_err("see anvilhub-bench --help"),
+        }
+    }
+    if options.scenarios.is_empty() {
+        bail!("unknown scenario; see anvilhub-bench --help");
+    }
+    Ok(Some(options))
+}
--- a/crates/anvilhub-dev/src/lib.rs
+++ b/crates/anvilhub-dev/src/lib.rs
@@ -1,1 +1,3 @@
 //! Development tools of anvilhub.
+
+pub mod bench;
