Bound extra load within every second

Cause: tokens earned up to a second earlier let extra load reach 7.2% in the worst second, at the peak's end and after a failure domain was lost; the target is 5% at all times. Change: RetryBudget also requires that what is spent within a second was earned within the same second. One token is saved at most, for services that earn less than one in a second. Ruled out: a shorter token lifetime alone, because a service with 95 sub-requests a second per entry would hardly earn a whole token.

--- a/crates/anvilhub-coord/src/routing/retry_budget.rs
+++ b/crates/anvilhub-coord/src/routing/retry_budget.rs
@@ -2,24 +2,32 @@
 
 use crate::time::ClockTime;
 
-/// Time after which an unused token expires: tokens earned at a demand peak must not be spent after it.
-pub const TOKEN_LIFETIME: Duration = Duration::from_secs(1);
-/// Steps in which tokens expire.
+/// Window within which spending is bounded, and after which unused tokens expire: tokens earned at a demand
+/// peak must not be spent after it.
+pub const BUDGET_WINDOW: Duration = Duration::from_secs(1);
+/// Steps in which the window moves.
 const STEP_COUNT: u64 = 10;
-/// One hedge or retry, in units that the bucket counts without rounding.
+/// One hedge or retry, in units that are counted without rounding.
 const TOKEN: u64 = 1_000_000;
 
 /// Budget of a service for hedges and retries together.
 ///
-/// Every needed sub-request earns `extra_load` of a token; every hedge or retry costs one. In any time window
-/// `[a, b]`, tokens spent are at most one more than `extra_load` times the sub-requests needed in
-/// `[a - TOKEN_LIFETIME, b]`, because only one token survives its lifetime, for services with little load.
+/// Every needed sub-request earns `extra_load` of a token; every hedge or retry costs one. Within the
+/// `BUDGET_WINDOW` that ends at a hedge or retry, those sent cost no more than the needed sub-requests of the
+/// same window earned. A service that earns less than one token in a window saves up to a single one. In any
+/// longer time `[a, b]`, at most one more token is spent than was earned in `[a - BUDGET_WINDOW, b]`.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     earned_per_request: u64,
-    steps: [u64; STEP_COUNT as usize],
+    steps: [BudgetStep; STEP_COUNT as usize],
     step: u64,
-    carried: u64,
+    saved: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct BudgetStep {
+    earned: u64,
+    spent: u64,
 }
 
 impl RetryBudget {
@@ -27,59 +35,59 @@
     pub fn new(extra_load: f64) -> Self {
         Self {
             earned_per_request: (extra_load.clamp(0.0, 1.0) * TOKEN as f64) as u64,
-            steps: [0; STEP_COUNT as usize],
+            steps: [BudgetStep::default(); STEP_COUNT as usize],
             step: 0,
-            carried: 0,
+            saved: 0,
         }
     }
 
     /// Counts a needed sub-request that is sent at `now`. Call it once per sub-request, not per attempt.
     pub fn earn(&mut self, now: ClockTime) {
         self.advance(now);
-        self.steps[(self.step % STEP_COUNT) as usize] += self.earned_per_request;
+        self.current().earned += self.earned_per_request;
+        self.saved = self.saved.saturating_add(self.earned_per_request);
     }
 
     /// Pays for one hedge or retry, or says that it must not be sent.
     #[must_use]
     pub fn try_spend(&mut self, now: ClockTime) -> bool {
-        self.advance(now);
-        if self.total() < TOKEN {
+        if !self.can_spend(now) {
             return false;
         }
-        let mut due = TOKEN;
-        take(&mut self.carried, &mut due);
-        for age in (0..STEP_COUNT).rev() {
-            let step = (self.step + STEP_COUNT - age) % STEP_COUNT;
-            take(&mut self.steps[step as usize], &mut due);
-        }
+        self.current().spent += TOKEN;
+        self.saved -= TOKEN;
         true
     }
 
-    /// Hedges or retries that the budget would pay for at `now`.
-    pub fn available(&mut self, now: ClockTime) -> u64 {
+    /// Says whether `try_spend` would pay at `now`.
+    pub fn can_spend(&mut self, now: ClockTime) -> bool {
         self.advance(now);
-        self.total() / TOKEN
+        let (earned, spent) = self.window();
+        self.saved >= TOKEN && spent + TOKEN <= earned.max(TOKEN)
     }
 
-    fn total(&self) -> u64 {
-        self.carried + self.steps.iter().sum::<u64>()
+    fn window(&self) -> (u64, u64) {
+        self.steps.iter().fold((0, 0), |(earned, spent), step| {
+            (earned + step.earned, spent + step.spent)
+        })
+    }
+
+    fn current(&mut self) -> &mut BudgetStep {
+        &mut self.steps[(self.step % STEP_COUNT) as usize]
     }
 
     fn advance(&mut self, now: ClockTime) {
-        let step_micros = TOKEN_LIFETIME.as_micros() as u64 / STEP_COUNT;
+        let step_micros = BUDGET_WINDOW.as_micros() as u64 / STEP_COUNT;
         let target = now.0 / step_micros;
-        let turns = target.saturating_sub(self.step).min(STEP_COUNT);
-        for turn in 1..=turns {
-            let slot = ((target - turns + turn) % STEP_COUNT) as usize;
-            self.carried = (self.carried + self.steps[slot]).min(TOKEN);
-            self.steps[slot] = 0;
+        if target <= self.step {
+            return;
+        }
+        let turns = (target - self.step).min(STEP_COUNT);
+        for turn in 0..turns {
+            self.steps[((target - turn) % STEP_COUNT) as usize] = BudgetStep::default();
         }
-        self.step = self.step.max(target);
+        self.step = target;
+        let (earned, _) = self.window();
+        self.saved = self.saved.min(earned.max(TOKEN));
     }
 }
-
-fn take(from: &mut u64, due: &mut u64) {
-    let taken = (*from).min(*due);
-    *from -= taken;
-    *due -= taken;
-}
--- a/crates/anvilhub-dev/src/bench/driver/attempts.rs
+++ b/crates/anvilhub-dev/src/bench/driver/attempts.rs
@@ -185,7 +185,7 @@
         let Ok(upstream) = choice else {
             return;
         };
-        if entry.budget.available(self.now) == 0 || !entry.queues[shard].try_occupy() {
+        if !entry.budget.can_spend(self.now) || !entry.queues[shard].try_occupy() {
             return;
         }
         if entry.budget.try_spend(self.now) {
