--- a/crates/anvilhub-dev/src/lib.rs
+++ b/crates/anvilhub-dev/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod process;
 pub mod standin;
+pub mod bench;
