--- a/crates/anvilhub-coord/src/gather/answer_gather.rs
+++ b/crates/anvilhub-coord/src/gather/answer_gather.rs
@@ -1,10 +1,10 @@
-use crate::border::query::RowEntry;
 use crate::border::upstream::SubAnswer;
 use crate::ids::{RequestId, SnapshotId};
 use crate::keyspace::{KeyRange, RangeSet};
 use crate::mutation;
 
 use super::pending_requests::PendingRequests;
+use super::snapshot_part::SnapshotPart;
 use super::{
     AnswerFault, CoverageReport, GatherLimits, GatheredAnswer, MissingRange, MissingReason, Result,
 };
@@ -17,11 +17,11 @@
 pub struct AnswerGather {
     asked: KeyRange,
     limits: GatherLimits,
-    snapshot: Option<SnapshotId>,
     pending: PendingRequests,
-    covered: RangeSet,
-    rows: Vec<RowEntry>,
-    bytes: usize,
+    /// What was gathered at the present snapshot.
+    part: SnapshotPart,
+    /// The widest part of the snapshots before it.
+    earlier: SnapshotPart,
     /// Why ranges are missing, the latest reason last.
     failures: Vec<MissingRange>,
     /// Ranges that were handed out after a repartition.
@@ -34,11 +34,9 @@
         Self {
             asked,
             limits,
-            snapshot: None,
             pending: PendingRequests::default(),
-            covered: RangeSet::default(),
-            rows: Vec::new(),
-            bytes: 0,
+            part: SnapshotPart::default(),
+            earlier: SnapshotPart::default(),
             failures: Vec::new(),
             asked_again: RangeSet::default(),
         }
@@ -51,22 +49,22 @@
 
     /// The snapshot that the answer comes from, once chosen or fixed by the first sub-answer.
     pub fn snapshot(&self) -> Option<SnapshotId> {
-        self.snapshot
+        self.part.snapshot
     }
 
-    /// Fixes the answer's snapshot and returns the sub-requests to cancel.
+    /// Fixes the snapshot to gather at and returns the sub-requests to cancel.
     ///
-    /// Another snapshot than the present one discards what was gathered and gives up what is awaited:
-    /// snapshots are never mixed.
+    /// Another snapshot than the present one starts from nothing and gives up what is awaited: snapshots
+    /// are never mixed. The widest earlier part is kept aside, and is the answer when it stays the widest.
     pub fn pin(&mut self, snapshot: SnapshotId) -> Vec<RequestId> {
-        let previous = self.snapshot.replace(snapshot);
+        let previous = self.part.snapshot.replace(snapshot);
         let is_same = previous.is_none_or(|previous| previous == snapshot);
         if is_same || mutation::is_active("pin_keeps_rows") {
             return Vec::new();
         }
-        self.covered = RangeSet::default();
-        self.rows.clear();
-        self.bytes = 0;
+        let mut part = std::mem::replace(&mut self.part, SnapshotPart::at(snapshot));
+        part.snapshot = previous;
+        self.earlier = std::mem::take(&mut self.earlier).wider(part);
         self.asked_again = RangeSet::default();
         let stale: Vec<_> = self.pending.awaited().map(|(id, _)| id.clone()).collect();
         for id in &stale {
@@ -102,13 +100,12 @@
             self.note_missing(range, fault.missing_reason());
             return Err(fault);
         }
-        self.snapshot.get_or_insert(answer.snapshot);
-        self.keep(searched, answer.rows);
+        self.part.snapshot.get_or_insert(answer.snapshot);
         let counted = match mutation::is_active("asked_counts_as_covered") {
             true => range,
             false => searched,
         };
-        self.covered.insert(counted);
+        self.part.keep(counted, answer.rows);
         self.note_unsearched(range, searched);
         Ok(())
     }
@@ -130,7 +127,7 @@
 
     /// The uncovered keys that no awaited sub-request covers.
     pub fn gaps(&self) -> RangeSet {
-        let mut gaps = self.covered.gaps_in(self.asked);
+        let mut gaps = self.part.covered.gaps_in(self.asked);
         for (_, range) in self.pending.awaited() {
             gaps.remove(range);
         }
@@ -156,9 +153,9 @@
         repartitioned
     }
 
-    /// Says whether every asked key is covered.
+    /// Says whether every asked key is covered at the present snapshot.
     pub fn is_complete(&self) -> bool {
-        self.covered.covers(self.asked)
+        self.part.covered.covers(self.asked)
     }
 
     /// Says whether no sub-request is awaited.
@@ -171,26 +168,37 @@
         self.pending.awaited().map(|(id, _)| id)
     }
 
-    /// What the answer covers at present. Awaited sub-requests count as `timeout`.
+    /// What the answer would cover if it went out now. Awaited sub-requests count as `timeout`.
     pub fn report(&self) -> CoverageReport {
-        let missing = match mutation::is_active("gaps_unnamed") {
-            true => Vec::new(),
-            false => self.explain(self.covered.gaps_in(self.asked)),
-        };
-        CoverageReport::new(self.asked, &self.covered, missing)
+        match self.earlier.covered.len() > self.part.covered.len() {
+            true => self.report_part(&self.earlier),
+            false => self.report_part(&self.part),
+        }
     }
 
     /// Ends gathering. Answers that arrive from now on have nothing to be accepted by.
     pub fn finish(mut self) -> GatheredAnswer {
         let coverage = self.report();
-        self.rows.sort_by_key(|row| row.key);
+        let earlier = std::mem::take(&mut self.earlier);
+        let SnapshotPart {
+            snapshot, mut rows, ..
+        } = earlier.wider(self.part);
+        rows.sort_by_key(|row| row.key);
         GatheredAnswer {
-            snapshot: self.snapshot,
-            rows: self.rows,
+            snapshot,
+            rows,
             coverage,
         }
     }
 
+    fn report_part(&self, part: &SnapshotPart) -> CoverageReport {
+        let missing = match mutation::is_active("gaps_unnamed") {
+            true => Vec::new(),
+            false => self.explain(part.covered.gaps_in(self.asked)),
+        };
+        CoverageReport::new(self.asked, &part.covered, missing)
+    }
+
     fn check(&self, range: KeyRange, answer: &SubAnswer) -> Result<()> {
         self.check_range(range, KeyRange::new(answer.start, answer.end))?;
         self.check_snapshot(answer.snapshot)?;
@@ -207,7 +215,7 @@
     }
 
     fn check_snapshot(&self, found: SnapshotId) -> Result<()> {
-        match self.snapshot {
+        match self.part.snapshot {
             Some(pinned) if pinned != found && !mutation::is_active("snapshots_mixed") => {
                 Err(AnswerFault::WrongSnapshot { pinned, found })
             }
@@ -220,14 +228,14 @@
             max_rows,
             max_bytes,
         } = self.limits;
-        if self.rows.len() + answer.rows.len() > max_rows {
+        if self.part.rows.len() + answer.rows.len() > max_rows {
             return Err(AnswerFault::Oversized {
                 limit: max_rows as u64,
                 unit: "rows",
             });
         }
         let bytes: usize = answer.rows.iter().map(|row| row.value.len()).sum();
-        match self.bytes + bytes > max_bytes {
+        match self.part.bytes + bytes > max_bytes {
             true => Err(AnswerFault::Oversized {
                 limit: max_bytes as u64,
                 unit: "bytes",
@@ -236,19 +244,6 @@
         }
     }
 
-    /// Keeps the rows of newly covered keys: keys that two upstreams searched count once.
-    fn keep(&mut self, searched: KeyRange, rows: Vec<RowEntry>) {
-        let fresh = self.covered.gaps_in(searched);
-        let is_fresh = |row: &RowEntry| {
-            let mut ranges = fresh.ranges().iter();
-            ranges.any(|range| range.contains(row.key)) || mutation::is_active("overlap_repeats")
-        };
-        for row in rows.into_iter().filter(is_fresh) {
-            self.bytes += row.value.len();
-            self.rows.push(row);
-        }
-    }
-
     fn note_unsearched(&mut self, asked: KeyRange, searched: KeyRange) {
         let found: RangeSet = [searched].into_iter().collect();
         for &range in found.gaps_in(asked).ranges() {
--- a/crates/anvilhub-coord/src/gather/mod.rs
+++ b/crates/anvilhub-coord/src/gather/mod.rs
@@ -9,6 +9,7 @@
 mod pending_requests;
 mod shard_holding;
 mod snapshot_chooser;
+mod snapshot_part;
 mod snapshot_plan;
 
 pub use crate::border::query::MissingReason;
--- a/crates/anvilhub-coord/src/gather/shard_holding.rs
+++ b/crates/anvilhub-coord/src/gather/shard_holding.rs
@@ -15,24 +15,6 @@
 pub struct ReplicaHolding {
     /// The replica.
     pub upstream: UpstreamId,
-    /// Snapshots of its latest answer or report; `None` when it has not stated any.
+    /// Snapshots that its latest answer or report states; `None` when it has stated nothing yet.
     pub held: Option<Vec<SnapshotId>>,
 }
-
-impl ReplicaHolding {
-    /// Says whether the replica may hold `snapshot`. Unknown holdings count as holding it: asking is the
-    /// only way to learn, and a refusal states what is held.
-    pub(crate) fn may_hold(&self, snapshot: SnapshotId) -> bool {
-        self.held
-            .as_ref()
-            .is_none_or(|held| held.contains(&snapshot))
-    }
-}
-
-impl ShardHolding {
-    pub(crate) fn may_hold(&self, snapshot: SnapshotId) -> bool {
-        self.replicas
-            .iter()
-            .any(|replica| replica.may_hold(snapshot))
-    }
-}
