Exchange state with peers and confirm the sheet before use

Cause: an instance that only reads the platform would bring an old sheet back after a restart, and a process that was paused would act on what it believed before. Change: the configuration controller owns the acceptor and performs its actions in order; peers exchange state and fetch sheets over JSON-RPC; the platform watcher and the member controller are threads; a heartbeat and every use point detect a pause, after which requests wait for the sheet's confirmation or are refused as not run. Ruled out: performing the acceptor's actions in several threads (an older sheet could be stored after a newer one); a list of peer addresses without identifiers in the settings (a peer answers under its identifier, so the start would wait for the address for ever).

--- a/crates/anvilhub-coord/src/border/settings.rs
+++ b/crates/anvilhub-coord/src/border/settings.rs
@@ -115,9 +115,9 @@
 ///      "minimum": 0.0
 ///    },
 ///    "peers": {
-///      "description": "Peer addresses to ask besides the listed ones.",
-///      "type": "array",
-///      "items": {
+///      "description": "Peer address of each instance to ask besides the listed ones.",
+///      "type": "object",
+///      "additionalProperties": {
 ///        "type": "string"
 ///      }
 ///    },
@@ -187,9 +187,12 @@
     pub peer_address: ::std::option::Option<::std::string::String>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub peer_timeout_ms: ::std::option::Option<u64>,
-    ///Peer addresses to ask besides the listed ones.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub peers: ::std::vec::Vec<::std::string::String>,
+    ///Peer address of each instance to ask besides the listed ones.
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: HashMap::is_empty"
+    )]
+    pub peers: ::std::collections::HashMap<::std::string::String, ::std::string::String>,
     ///IP address and port of the platform.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub platform_address: ::std::option::Option<::std::string::String>,
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,12 +1,11 @@
 //! Tests of the coordination library, one file a feature.
 
+mod answer_gather;
 mod fleet;
 mod gossip_spread;
 mod key_ranges;
 mod matrix;
 mod member_table;
-mod answer_gather;
-mod key_ranges;
 mod pause_detection;
 mod shard_owners;
 mod sheet_check;
--- a/crates/anvilhub-dev/src/lib.rs
+++ b/crates/anvilhub-dev/src/lib.rs
@@ -1,5 +1,5 @@
 //! Development tools of anvilhub.
 
+pub mod bench;
 pub mod process;
 pub mod standin;
-pub mod bench;
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome, QueryRequest};
 use anvilhub_coord::ids::{ByteSize, RequestId};
@@ -102,12 +103,17 @@
     }
 
     async fn run_query(&self, query: QueryRequest, origin: RequestOrigin) -> Result<QueryAnswer> {
+        let arrived = self.context.clock.now();
+        let limit = arrived + Duration::from_millis(query.deadline_ms);
+        if !self.context.confirm_sheet(limit).await {
+            return Err(RequestError::NotReady);
+        }
         let sheet = self
             .context
             .sheet
             .load_full()
             .ok_or(RequestError::NotReady)?;
-        let mut request = EntryRequest::new(query, sheet, self.context.clock.now());
+        let mut request = EntryRequest::new(query, sheet, arrived);
         self.chain.apply(&mut request)?;
         match request.is_idempotent(request.service()?) {
             true => self.runner.run(&request).await,
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -1,17 +1,24 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use anvilhub_coord::border::platform::{InstanceEntry, InstanceList, InstanceRole, InstanceState};
+use anvilhub_coord::border::platform::InstanceList;
+use anvilhub_coord::configuration::{ExchangeMessage, PeerIdentity, PeerStage, SheetInput};
 use anvilhub_coord::ids::{Incarnation, InstanceId};
+use anvilhub_coord::membership::{MemberTable, ShardOwner};
 use anvilhub_coord::sheet::{CheckedSheet, ReplicaSpec, ShardSpec};
 use anvilhub_coord::ticket::{TicketIdentity, TicketLimits, TicketTable};
-use arc_swap::ArcSwapOption;
+use anvilhub_coord::time::{ClockTime, PauseDetector};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use log::warn;
+use metrics::counter;
 use rand::seq::SliceRandom;
 
 use crate::DaemonSettings;
 use crate::clock::DaemonClock;
-use crate::lifecycle::StageCell;
+use crate::controllers::ConfigState;
+use crate::lifecycle::{LifecycleStage, StageCell};
 use crate::peer::PeerClients;
 use crate::pool::UpstreamPool;
 use crate::tickets::{TicketService, random_number};
@@ -23,9 +30,14 @@
     pub(crate) stage: StageCell,
     pub(crate) sheet: ArcSwapOption<CheckedSheet>,
     pub(crate) instances: ArcSwapOption<InstanceList>,
+    pub(crate) configuration: Arc<ConfigState>,
+    pub(crate) pause: PauseDetector,
+    /// Live instances, and the owners of shards among them.
+    pub(crate) owners: ArcSwap<(Vec<InstanceId>, ShardOwner)>,
     pub(crate) pool: UpstreamPool,
     pub(crate) peers: PeerClients,
     pub(crate) tickets: Arc<TicketService>,
+    members: Mutex<MemberTable>,
     requests: AtomicUsize,
 }
 
@@ -33,13 +45,28 @@
     pub(crate) fn new(settings: DaemonSettings, clock: DaemonClock, stage: StageCell) -> Arc<Self> {
         let pool = UpstreamPool::new(&settings);
         let peers = PeerClients::new(settings.connect_timeout);
-        let tickets = Arc::new(TicketService::new(ticket_table(&settings)));
+        let incarnation = Incarnation(random_number());
+        let tickets = Arc::new(TicketService::new(ticket_table(&settings, incarnation)));
+        let now = clock.now();
+        let identity = PeerIdentity {
+            instance: settings.instance.clone(),
+            incarnation,
+            peer_address: settings.peer_address,
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let configuration = ConfigState::new(identity, settings.isolated_start_after, now);
+        let members = MemberTable::new(settings.instance.clone(), settings.peers.clone());
+        let pause = PauseDetector::new(settings.pause_limit, now);
         Arc::new(Self {
             settings,
             clock,
             stage,
             sheet: ArcSwapOption::empty(),
             instances: ArcSwapOption::empty(),
+            configuration: Arc::new(configuration),
+            pause,
+            owners: ArcSwap::default(),
+            members: Mutex::new(members),
             pool,
             peers,
             tickets,
@@ -57,27 +84,68 @@
         self.requests.load(Ordering::Acquire)
     }
 
-    /// Peer address of another instance, as the instance list has it.
+    /// What is known of the other instances.
+    pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Peer address of another instance.
     pub(crate) fn peer_address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
-        let list = self.instances.load_full()?;
-        let entry = list.instances.iter().find(|entry| entry.id == *instance)?;
-        entry.peer_address.as_ref()?.parse().ok()
+        self.members().address(instance)
     }
 
-    /// Peer addresses of the other entry instances that are not leaving.
+    /// Peer addresses of the other entry instances that take work.
     pub(crate) fn live_peers(&self) -> Vec<SocketAddr> {
-        let Some(list) = self.instances.load_full() else {
-            return Vec::new();
-        };
-        let is_peer = |entry: &&InstanceEntry| {
-            entry.role == InstanceRole::Entry
-                && entry.state == InstanceState::Live
-                && entry.id != self.settings.instance
-        };
-        let peers = list.instances.iter().filter(is_peer);
-        peers
-            .filter_map(|entry| entry.peer_address.as_ref()?.parse().ok())
-            .collect()
+        let members = self.members();
+        let live = members.live(self.clock.now());
+        live.filter_map(|peer| members.address(peer)).collect()
+    }
+
+    /// The state to tell a peer.
+    pub(crate) fn exchange_message(&self) -> ExchangeMessage {
+        self.configuration.message(self.is_draining(), Vec::new())
+    }
+
+    /// Takes the state that a peer told, in answer to an exchange sent at `sent_at` or by itself.
+    pub(crate) fn hear_peer(&self, message: ExchangeMessage, sent_at: Option<ClockTime>) {
+        let is_draining = message.stage == PeerStage::Draining;
+        self.members()
+            .observe_answer(&message.sender, is_draining, self.clock.now());
+        self.configuration
+            .observe(SheetInput::PeerMessage { message, sent_at });
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.stage.get() == LifecycleStage::Draining
+    }
+
+    /// Notes that the process was paused: nothing believed before it is used until it is confirmed again.
+    pub(crate) fn note_pause(&self, pause: Duration) {
+        warn!(pause_ms = pause.as_millis() as u64; "the process was paused; confirming its state again");
+        counter!("anvilhub_pauses_total").increment(1);
+        self.configuration.set_ready(false);
+        self.configuration.observe(SheetInput::Resumed);
+    }
+
+    /// Waits until the sheet in force may be used, for at most half of the time until `deadline`. Detects a
+    /// pause itself, because this thread may resume before the one that beats.
+    pub(crate) async fn confirm_sheet(&self, deadline: ClockTime) -> bool {
+        let now = self.clock.now();
+        if let Some(pause) = self.pause.check(now) {
+            self.note_pause(pause);
+        }
+        self.configuration.is_ready()
+            || self.configuration.wait_ready(deadline.since(now) / 2).await
+    }
+
+    /// Says whether the process was paused after `time`.
+    pub(crate) fn was_paused_since(&self, time: ClockTime) -> bool {
+        if let Some(pause) = self.pause.check(self.clock.now()) {
+            self.note_pause(pause);
+        }
+        self.pause
+            .resumed_at()
+            .is_some_and(|resumed_at| resumed_at > time)
     }
 
     /// Replicas of a shard in the order in which to try them: own failure domain first, then at random.
@@ -89,11 +157,11 @@
     }
 }
 
-fn ticket_table(settings: &DaemonSettings) -> TicketTable {
+fn ticket_table(settings: &DaemonSettings, incarnation: Incarnation) -> TicketTable {
     let identity = TicketIdentity {
         instance: settings.instance.clone(),
         address: settings.peer_address,
-        incarnation: Incarnation(random_number()),
+        incarnation,
     };
     let limits = TicketLimits {
         lifetime: settings.ticket_lifetime,
--- a/crates/anvilhubd/src/controllers/config_controller.rs
+++ b/crates/anvilhubd/src/controllers/config_controller.rs
@@ -2,36 +2,42 @@
 use std::thread;
 use std::time::Duration;
 
-use anvilhub_coord::border::platform::ConfigValue;
-use anvilhub_coord::ids::PlatformRevision;
-use anvilhub_coord::sheet::CheckedSheet;
-use crossbeam::channel::Sender;
+use anvilhub_coord::configuration::{SheetAction, SheetInput};
+use anvilhub_coord::ids::InstanceId;
+use anvilhub_coord::membership::{GossipPlan, ShardOwner};
+use anvilhub_coord::sheet::AcceptedSheet;
+use crossbeam::channel::{Sender, select, tick};
 use eyre::{Result, WrapErr};
 use log::{error, info, warn};
+use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
 
-use super::PlatformClient;
+use super::PeerExchange;
 
-/// How long one watch waits for a newer sheet.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Pause after a failed read, so that a platform outage costs few calls.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Interval at which the acceptor looks at the time.
+const TICK: Duration = Duration::from_millis(100);
 
-/// Watches the platform's sheet and puts accepted sheets in force.
+/// Decides which sheet is in force, and exchanges state with peers.
 pub(crate) struct ConfigController {
     context: Arc<EntryContext>,
-    client: PlatformClient,
-    accepted: Sender<()>,
+    exchange: PeerExchange,
+    gossip: GossipPlan,
+    became_ready: Sender<()>,
 }
 
 impl ConfigController {
-    pub(crate) fn new(context: Arc<EntryContext>, accepted: Sender<()>) -> Self {
-        let client = PlatformClient::new(context.settings.platform_address);
+    pub(crate) fn new(
+        context: Arc<EntryContext>,
+        exchange: PeerExchange,
+        became_ready: Sender<()>,
+    ) -> Self {
+        let gossip = GossipPlan::new(rand::random(), context.clock.now());
         Self {
             context,
-            client,
-            accepted,
+            exchange,
+            gossip,
+            became_ready,
         }
     }
 
@@ -43,43 +49,107 @@
         Ok(())
     }
 
-    fn run(self) {
-        let mut revision = None;
+    fn run(mut self) {
+        let inputs = self.context.configuration.inputs();
+        let ticks = tick(TICK);
         loop {
-            match self.client.watch_sheet(revision, WATCH_WAIT) {
-                Ok(Some(value)) => revision = Some(self.consider(&value)),
-                Ok(None) => {}
-                Err(error) => {
-                    warn!("the configuration service cannot be read: {error:#}");
-                    thread::sleep(RETRY_PAUSE);
-                }
-            }
+            let input = select! {
+                recv(inputs) -> input => input.unwrap_or(SheetInput::Tick),
+                recv(ticks) -> _ => SheetInput::Tick,
+            };
+            self.handle(input);
+            self.gossip();
+            self.publish();
+        }
+    }
+
+    fn handle(&mut self, input: SheetInput) {
+        let now = self.context.clock.now();
+        let actions = self.context.configuration.acceptor().handle(now, input);
+        for action in actions {
+            self.perform(action);
         }
     }
 
-    fn consider(&self, value: &ConfigValue) -> PlatformRevision {
-        match CheckedSheet::from_bytes(value.value.as_bytes()) {
-            Ok(sheet) => self.accept(sheet),
-            Err(faults) => {
+    fn perform(&mut self, action: SheetAction) {
+        match action {
+            SheetAction::Announce => self.gossip.announce(self.context.clock.now()),
+            SheetAction::Query { peers } => self.exchange.start(&peers),
+            SheetAction::Fetch {
+                peer,
+                stamp,
+                request,
+            } => {
+                info!(peer:% = peer, sheet:% = stamp; "fetching a sheet from a peer");
+                self.exchange.fetch(peer, request);
+            }
+            SheetAction::PutInForce(sheet) => self.put_in_force(&sheet),
+            SheetAction::Refuse { revision, faults } => {
+                counter!("anvilhub_sheets_refused_total").increment(1);
                 for fault in faults {
-                    error!(revision:% = value.revision; "sheet refused: {fault}");
+                    error!(revision:% = revision, place = fault.place; "sheet refused: {fault}");
                 }
             }
+            SheetAction::IgnoreStale { revision, version } => {
+                warn!(revision:% = revision, version:% = version; "the platform served an older sheet; ignored");
+            }
+            SheetAction::DiscardAnswer { peer, reason } => {
+                warn!(peer:% = peer; "sheet from a peer discarded: {reason}");
+            }
+            SheetAction::Raise(alarm) => error!(alarm:? = alarm; "alarm: {alarm}"),
+            SheetAction::Clear(alarm) => info!(alarm:? = alarm; "alarm ended: {alarm}"),
         }
-        value.revision
     }
 
-    fn accept(&self, sheet: CheckedSheet) {
-        let current = self.context.sheet.load();
-        if current
-            .as_ref()
-            .is_some_and(|current| current.version >= sheet.version)
-        {
+    fn put_in_force(&self, sheet: &AcceptedSheet) {
+        let stamp = sheet.stamp();
+        info!(version:% = stamp.version, digest:% = stamp.digest, revision:% = stamp.revision; "sheet in force");
+        gauge!("anvilhub_sheet_version").set(stamp.version.get() as f64);
+        self.context
+            .sheet
+            .store(Some(Arc::new(sheet.sheet().clone())));
+    }
+
+    fn gossip(&mut self) {
+        let now = self.context.clock.now();
+        let peers: Vec<InstanceId> = self.context.members().peers().cloned().collect();
+        let due = self.gossip.round(now, &peers);
+        if !due.is_empty() {
+            self.exchange.start(&due);
+        }
+    }
+
+    fn publish(&self) {
+        let (ready, alarms) = {
+            let acceptor = self.context.configuration.acceptor();
+            (acceptor.is_ready(), acceptor.alarms().len())
+        };
+        gauge!("anvilhub_alarms").set(alarms as f64);
+        gauge!("anvilhub_sheet_confirmed").set(f64::from(u8::from(ready)));
+        self.context.configuration.set_ready(ready);
+        self.publish_owners();
+        if ready {
+            // A full channel means that the daemon knows already.
+            let _ = self.became_ready.try_send(());
+        }
+    }
+
+    /// Recomputes the owners of shards when the live members changed.
+    fn publish_owners(&self) {
+        let now = self.context.clock.now();
+        let own = self.context.settings.instance.clone();
+        let mut live: Vec<InstanceId> = self.context.members().live(now).cloned().collect();
+        if !self.context.is_draining() || live.is_empty() {
+            live.push(own);
+        }
+        live.sort();
+        let known = self.context.owners.load();
+        if known.0 == live {
             return;
         }
-        info!(version:% = sheet.version, digest:% = sheet.digest; "sheet in force");
-        self.context.sheet.store(Some(Arc::new(sheet)));
-        // A full channel means that the daemon knows already.
-        let _ = self.accepted.try_send(());
+        gauge!("anvilhub_live_instances").set(live.len() as f64);
+        info!(instances = live.len(); "owners of shards recomputed");
+        let owners = ShardOwner::new(live.iter().cloned());
+        self.context.owners.store(Arc::new((live, owners)));
     }
 }
--- /dev/null
+++ b/crates/anvilhubd/src/controllers/heartbeat_controller.rs
@@ -0,0 +1,38 @@
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+
+use crate::context::EntryContext;
+
+/// Interval of heartbeats; well below the shortest sensible pause limit.
+const HEARTBEAT: Duration = Duration::from_millis(50);
+
+/// Beats, so that every thread can tell that the process was paused.
+pub(crate) struct HeartbeatController {
+    context: Arc<EntryContext>,
+}
+
+impl HeartbeatController {
+    pub(crate) fn new(context: Arc<EntryContext>) -> Self {
+        Self { context }
+    }
+
+    pub(crate) fn spawn(self) -> Result<()> {
+        thread::Builder::new()
+            .name("heartbeat".to_owned())
+            .spawn(move || self.run())
+            .wrap_err("cannot start the heartbeat controller")?;
+        Ok(())
+    }
+
+    fn run(self) {
+        loop {
+            if let Some(pause) = self.context.pause.beat(self.context.clock.now()) {
+                self.context.note_pause(pause);
+            }
+            thread::sleep(HEARTBEAT);
+        }
+    }
+}
--- a/crates/anvilhubd/src/controllers/member_controller.rs
+++ b/crates/anvilhubd/src/controllers/member_controller.rs
@@ -2,8 +2,11 @@
 use std::thread;
 use std::time::Duration;
 
+use anvilhub_coord::border::platform::InstanceList;
+use anvilhub_coord::configuration::SheetInput;
 use eyre::{Result, WrapErr};
 use log::{info, warn};
+use metrics::gauge;
 
 use crate::context::EntryContext;
 
@@ -36,19 +39,49 @@
 
     fn run(self) {
         let mut revision = None;
+        self.publish();
         loop {
             match self.client.watch_instances(revision, WATCH_WAIT) {
                 Ok(Some(list)) => {
-                    info!(revision:% = list.revision, instances = list.instances.len(); "instance list read");
                     revision = Some(list.revision);
-                    self.context.instances.store(Some(Arc::new(list)));
+                    self.apply(&list);
                 }
-                Ok(None) => {}
+                Ok(None) => self
+                    .context
+                    .members()
+                    .confirm_list(self.context.clock.now()),
                 Err(error) => {
                     warn!("the instance list cannot be read: {error:#}");
+                    revision = None;
                     thread::sleep(RETRY_PAUSE);
                 }
             }
+            self.publish();
+        }
+    }
+
+    fn apply(&self, list: &InstanceList) {
+        info!(revision:% = list.revision, instances = list.instances.len(); "instance list read");
+        let now = self.context.clock.now();
+        for instance in self.context.members().apply_list(list, now) {
+            warn!(instance:% = instance; "the list gives no usable peer_address; the instance is left out");
+        }
+        self.context.instances.store(Some(Arc::new(list.clone())));
+    }
+
+    fn publish(&self) {
+        let now = self.context.clock.now();
+        let (expected, age) = {
+            let members = self.context.members();
+            (members.expected(), members.list_age(now))
+        };
+        if let Some(age) = age {
+            gauge!("anvilhub_instance_list_age_seconds").set(age.as_secs_f64());
+        }
+        if let Some(expected) = expected {
+            self.context
+                .configuration
+                .observe(SheetInput::PeersListed(expected));
         }
     }
 }
--- a/crates/anvilhubd/src/controllers/mod.rs
+++ b/crates/anvilhubd/src/controllers/mod.rs
@@ -1,9 +1,17 @@
 //! Controllers: threads that keep the shared state up to date.
 
 mod config_controller;
+mod config_state;
+mod heartbeat_controller;
 mod member_controller;
+mod peer_exchange;
 mod platform_client;
+mod platform_watcher;
 
 pub(crate) use config_controller::ConfigController;
+pub(crate) use config_state::ConfigState;
+pub(crate) use heartbeat_controller::HeartbeatController;
 pub(crate) use member_controller::MemberController;
+pub(crate) use peer_exchange::PeerExchange;
 pub(crate) use platform_client::PlatformClient;
+pub(crate) use platform_watcher::PlatformWatcher;
--- /dev/null
+++ b/crates/anvilhubd/src/controllers/peer_exchange.rs
@@ -0,0 +1,90 @@
+use std::sync::Arc;
+
+use anvilhub_coord::configuration::{FetchRequest, SheetInput};
+use anvilhub_coord::ids::InstanceId;
+use jsonrpsee::core::client::Client;
+use log::debug;
+use tokio::runtime::Handle;
+
+use crate::context::EntryContext;
+use crate::peer::{PeerApiClient, PeerError};
+
+/// Exchanges state with peers and reports what they answered, or that they did not.
+#[derive(Clone)]
+pub(crate) struct PeerExchange {
+    context: Arc<EntryContext>,
+    runtime: Handle,
+}
+
+impl PeerExchange {
+    pub(crate) fn new(context: Arc<EntryContext>, runtime: Handle) -> Self {
+        Self { context, runtime }
+    }
+
+    /// Starts an exchange with each of `peers`.
+    pub(crate) fn start(&self, peers: &[InstanceId]) {
+        for peer in peers {
+            let context = Arc::clone(&self.context);
+            let peer = peer.clone();
+            self.runtime
+                .spawn(async move { exchange(&context, peer).await });
+        }
+    }
+
+    /// Starts the fetch of a sheet.
+    pub(crate) fn fetch(&self, peer: InstanceId, request: FetchRequest) {
+        let context = Arc::clone(&self.context);
+        self.runtime
+            .spawn(async move { fetch(&context, peer, request).await });
+    }
+}
+
+async fn exchange(context: &EntryContext, peer: InstanceId) {
+    let Some(address) = context.peer_address_of(&peer) else {
+        return;
+    };
+    let message = context.exchange_message();
+    let sent_at = context.clock.now();
+    let call = |client: Arc<Client>| async move { client.exchange(message).await };
+    match context
+        .peers
+        .call(address, context.settings.peer_timeout, call)
+        .await
+    {
+        Ok(message) => context.hear_peer(message, Some(sent_at)),
+        Err(error) => lose_peer(context, peer, &error),
+    }
+}
+
+async fn fetch(context: &EntryContext, peer: InstanceId, request: FetchRequest) {
+    let input = match context.peer_address_of(&peer) {
+        Some(address) => {
+            let call = |client: Arc<Client>| async move { client.fetch_sheet(request).await };
+            match context
+                .peers
+                .call(address, context.settings.peer_timeout, call)
+                .await
+            {
+                Ok(Some(reply)) => SheetInput::Fetched { peer, reply },
+                Ok(None) | Err(_) => SheetInput::FetchFailed(peer),
+            }
+        }
+        None => SheetInput::FetchFailed(peer),
+    };
+    context.configuration.observe(input);
+}
+
+fn lose_peer(context: &EntryContext, peer: InstanceId, error: &PeerError) {
+    debug!(peer:% = peer; "exchange failed: {error}");
+    let now = context.clock.now();
+    match error {
+        PeerError::Absent { .. } => {
+            context.members().observe_refused(&peer, now);
+            context.configuration.observe(SheetInput::PeerAbsent(peer));
+        }
+        PeerError::Silent { .. } | PeerError::Failed { .. } => {
+            context.members().observe_silent(&peer, now);
+            context.configuration.observe(SheetInput::PeerSilent(peer));
+        }
+    }
+}
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -15,7 +15,9 @@
 use crate::caller::{CallerServer, QueryHandler};
 use crate::clock::DaemonClock;
 use crate::context::EntryContext;
-use crate::controllers::{ConfigController, MemberController};
+use crate::controllers::{
+    ConfigController, HeartbeatController, MemberController, PeerExchange, PlatformWatcher,
+};
 use crate::lifecycle::{Draining, InstanceLifecycle, Ready};
 use crate::logging;
 use crate::operator::OperatorServer;
@@ -38,7 +40,7 @@
     let lifecycle = InstanceLifecycle::new();
     let context = EntryContext::new(settings, DaemonClock::start(), lifecycle.stage());
     let (drain_sender, drain) = bounded(1);
-    let (accepted_sender, accepted) = bounded(1);
+    let (ready_sender, became_ready) = bounded(1);
     let listener = bind_callers(&runtime, &context)?;
     let handler = Arc::new(QueryHandler::new(Arc::clone(&context)));
     let peer_server = PeerServer::new(Arc::clone(&context), Arc::clone(&handler));
@@ -46,11 +48,14 @@
     OperatorServer::new(Arc::clone(&context), metrics, drain_sender.clone()).spawn()?;
     forward_signals(drain_sender)?;
     MemberController::new(Arc::clone(&context)).spawn()?;
-    ConfigController::new(Arc::clone(&context), accepted_sender).spawn()?;
+    PlatformWatcher::new(Arc::clone(&context)).spawn()?;
+    HeartbeatController::new(Arc::clone(&context)).spawn()?;
+    let exchange = PeerExchange::new(Arc::clone(&context), runtime.handle().clone());
+    ConfigController::new(Arc::clone(&context), exchange, ready_sender).spawn()?;
 
-    info!(instance:% = context.settings.instance; "waiting for a sheet");
+    info!(instance:% = context.settings.instance; "learning the sheet in force");
     select! {
-        recv(accepted) -> _ => {}
+        recv(became_ready) -> _ => {}
         recv(drain) -> _ => {
             lifecycle.abandon();
             return Ok(());
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -26,7 +26,7 @@
     DeadlineExpired { deadline_ms: u64 },
     #[display("key {key} is outside the key space")]
     UnknownKey { key: u64 },
-    #[display("no sheet is in force yet")]
+    #[display("the instance has no confirmed sheet in force")]
     NotReady,
     #[display("a non-idempotent request to service `{service}` names no key")]
     KeyMissing { service: ServiceName },
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
-use anvilhub_coord::border::operator::{SheetState, StateReport};
+use anvilhub_coord::border::operator::{PeerState, SheetState, StateReport};
+use anvilhub_coord::ids::InstanceId;
+use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::Sender;
 use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -64,11 +66,14 @@
 
     fn ready(&self) -> Response<Body> {
         let stage = self.context.stage.get();
-        let status = match stage {
-            LifecycleStage::Ready => StatusCode::OK,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        text(status, format!("{stage}\n"))
+        match (stage, self.context.configuration.is_ready()) {
+            (LifecycleStage::Ready, true) => text(StatusCode::OK, "ready\n".to_owned()),
+            (LifecycleStage::Ready, false) => text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "confirming the sheet\n".to_owned(),
+            ),
+            _ => text(StatusCode::SERVICE_UNAVAILABLE, format!("{stage}\n")),
+        }
     }
 
     fn state(&self) -> Response<Body> {
@@ -84,12 +89,23 @@
             }),
             requests_in_flight: self.context.requests_in_flight() as u64,
             tickets: self.context.tickets.drain_report(now).owned() as u64,
-            peers: Vec::new(),
+            peers: self.peers(now),
             upstreams: Vec::new(),
-            alarms: Vec::new(),
+            alarms: self.context.configuration.alarms(),
         })
     }
 
+    fn peers(&self, now: ClockTime) -> Vec<PeerState> {
+        let members = self.context.members();
+        let state = |peer: &InstanceId| PeerState {
+            instance: peer.clone(),
+            address: members.address(peer).map(|address| address.to_string()),
+            state: members.state(peer, now).to_string(),
+            sheet: None,
+        };
+        members.peers().map(state).collect()
+    }
+
     fn start_drain(&self) -> Response<Body> {
         // A full channel means that a drain is under way.
         let _ = self.drain.try_send(());
--- a/crates/anvilhubd/src/peer/peer_api.rs
+++ b/crates/anvilhubd/src/peer/peer_api.rs
@@ -1,4 +1,5 @@
 use anvilhub_coord::border::query::{QueryAnswer, TicketEntry};
+use anvilhub_coord::configuration::{ExchangeMessage, FetchReply, FetchRequest};
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
 
@@ -7,6 +8,18 @@
 /// What instances ask of each other.
 #[rpc(server, client, namespace = "anvilhub")]
 pub(crate) trait PeerApi {
+    /// Takes the caller's state and returns the own one.
+    #[method(name = "exchange")]
+    async fn exchange(&self, message: ExchangeMessage)
+    -> Result<ExchangeMessage, ErrorObjectOwned>;
+
+    /// Supplies the wanted sheet, or the one in force if the wanted one is not held.
+    #[method(name = "fetch_sheet")]
+    async fn fetch_sheet(
+        &self,
+        request: FetchRequest,
+    ) -> Result<Option<FetchReply>, ErrorObjectOwned>;
+
     /// Runs a ticketed request whose ticket names the called instance, or gives its recorded outcome.
     #[method(name = "forward")]
     async fn forward(&self, message: ForwardMessage) -> Result<QueryAnswer, ErrorObjectOwned>;
--- a/crates/anvilhubd/src/peer/peer_server.rs
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use anvilhub_coord::border::query::{QueryAnswer, TicketEntry};
+use anvilhub_coord::configuration::{ExchangeMessage, FetchReply, FetchRequest};
 use anvilhub_coord::ticket::RequestOrigin;
 use eyre::{Result, WrapErr};
 use jsonrpsee::core::async_trait;
@@ -49,6 +50,21 @@
 
 #[async_trait]
 impl PeerApiServer for PeerServer {
+    async fn exchange(
+        &self,
+        message: ExchangeMessage,
+    ) -> Result<ExchangeMessage, ErrorObjectOwned> {
+        self.context.hear_peer(message, None);
+        Ok(self.context.exchange_message())
+    }
+
+    async fn fetch_sheet(
+        &self,
+        request: FetchRequest,
+    ) -> Result<Option<FetchReply>, ErrorObjectOwned> {
+        Ok(self.context.configuration.serve_fetch(&request))
+    }
+
     async fn forward(&self, message: ForwardMessage) -> Result<QueryAnswer, ErrorObjectOwned> {
         let _guard = self.context.begin_request();
         Ok(self
--- a/crates/anvilhubd/src/settings.rs
+++ b/crates/anvilhubd/src/settings.rs
@@ -30,8 +30,8 @@
     pub operator_address: SocketAddr,
     /// Where the platform's configuration service and instance list answer.
     pub platform_address: SocketAddr,
-    /// Peer addresses to ask besides the listed ones.
-    pub peers: Vec<SocketAddr>,
+    /// Peer addresses of instances to ask besides the listed ones.
+    pub peers: Vec<(InstanceId, SocketAddr)>,
     /// Most detailed log level that is written.
     pub log_level: LevelFilter,
     /// Threads that serve requests.
@@ -154,7 +154,13 @@
             peers: document
                 .peers
                 .iter()
-                .map(|peer| parse(peer, "peers", "an IP address and a port"))
+                .map(|(instance, address)| {
+                    let instance = parse(instance, "peers", "an identifier")?;
+                    Ok((
+                        instance,
+                        parse(address, "peers", "an IP address and a port")?,
+                    ))
+                })
                 .collect::<Result<_>>()?,
             log_level: match &document.log_level {
                 Some(level) => parse(level, "log_level", "off, error, warn, info, debug or trace")?,
