--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,5 +1,6 @@
 //! Tests of the coordination library, one file a feature.
 
+mod answer_gather;
 mod fleet;
 mod gossip_spread;
 mod key_ranges;
@@ -12,3 +13,4 @@
 mod sheet_fetch;
 mod sheet_fuzz;
 mod sheets;
+mod ticket_table;
