--- a/crates/anvilhub-coord/src/connection/connection_ledger.rs
+++ b/crates/anvilhub-coord/src/connection/connection_ledger.rs
@@ -100,6 +100,28 @@
         }
     }
 
+    /// Reserves the place of a connection that is opened before a request needs it; `false` when the share is
+    /// used up. Call `opened` and `finished`, or `open_failed`, afterwards.
+    #[must_use]
+    pub fn reserve(&mut self) -> bool {
+        let free = self.held() < self.share;
+        self.opening += u32::from(free);
+        free
+    }
+
+    /// Starts a probe on an idle or suspect connection, to renew its proof of life before a request needs it.
+    #[must_use]
+    pub fn begin_probe(&mut self, now: ClockTime, id: ConnectionId) -> bool {
+        let rests = matches!(
+            self.state(id),
+            Some(ConnectionState::Idle | ConnectionState::Suspect)
+        );
+        if rests {
+            self.probe(now, id);
+        }
+        rests
+    }
+
     /// Counts a connection that opened for a request, which it now carries.
     pub fn opened(&mut self, now: ClockTime, id: ConnectionId) {
         self.opening = self.opening.saturating_sub(1);
--- /dev/null
+++ b/crates/anvilhubd/src/admission/mod.rs
@@ -0,0 +1,7 @@
+//! Admission of callers' requests in front of each service.
+
+mod admission_permit;
+mod service_gate;
+
+pub(crate) use admission_permit::AdmissionPermit;
+pub(crate) use service_gate::ServiceGate;
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -123,7 +123,13 @@
 
 fn refuse(error: &RequestError, request_id: RequestId) -> Response<Full<Bytes>> {
     warn!(request_id:% = request_id, code = error.code(); "request refused: {error}");
-    respond(error.status(), &error.answer(request_id))
+    let mut response = respond(error.status(), &error.answer(request_id));
+    if let Some(seconds) = error.retry_after() {
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, seconds.into());
+    }
+    response
 }
 
 fn status_of(answer: &QueryAnswer) -> StatusCode {
--- a/crates/anvilhubd/src/controllers/mod.rs
+++ b/crates/anvilhubd/src/controllers/mod.rs
@@ -2,6 +2,8 @@
 
 mod config_controller;
 mod platform_client;
+mod upstream_controller;
 
 pub(crate) use config_controller::ConfigController;
 pub(crate) use platform_client::PlatformClient;
+pub(crate) use upstream_controller::UpstreamController;
--- /dev/null
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -0,0 +1,243 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anvilhub_coord::connection::ConnectionShare;
+use anvilhub_coord::ids::SlotCount;
+use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy};
+use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
+use anvilhub_coord::time::ClockTime;
+use crossbeam::channel::tick;
+use eyre::{Result, WrapErr};
+use log::{debug, warn};
+use metrics::{counter, gauge};
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use crate::context::EntryContext;
+use crate::pool::{LinkPlan, PoolError};
+use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
+
+/// Time between two rounds: queues are advanced a few times per second at least.
+const ROUND_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two load reports of an upstream.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for a load report.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Load reports that are waited for at once; upstreams that are due wait for the next round.
+const MOST_POLLS: usize = 32;
+/// Shortest time without a byte after which a connection may be silent.
+const LEAST_SILENCE: Duration = Duration::from_millis(150);
+/// A connection that is this many times later than the upstream's usual answer may be silent.
+const SILENCE_FACTOR: u32 = 8;
+/// Warm connections per slot: one that carries a request, and one for its successor or a cancellation.
+const WARM_PER_SLOT: u32 = 2;
+
+/// Keeps the state of routes and connections up to date while no request does.
+pub(crate) struct UpstreamController {
+    context: Arc<EntryContext>,
+    runtime: Handle,
+    polls: Arc<Semaphore>,
+}
+
+impl UpstreamController {
+    pub(crate) fn new(context: Arc<EntryContext>, runtime: Handle) -> Self {
+        Self {
+            context,
+            runtime,
+            polls: Arc::new(Semaphore::new(MOST_POLLS)),
+        }
+    }
+
+    pub(crate) fn spawn(self) -> Result<()> {
+        thread::Builder::new()
+            .name("upstreams".to_owned())
+            .spawn(move || self.run())
+            .wrap_err("cannot start the upstream controller")?;
+        Ok(())
+    }
+
+    fn run(self) {
+        // Connections are opened and probed by tasks of the runtime.
+        let _runtime = self.runtime.enter();
+        for _ in tick(ROUND_INTERVAL) {
+            if let Some(routes) = self.context.routes() {
+                self.round(&routes);
+            }
+        }
+    }
+
+    fn round(&self, routes: &RouteTable) {
+        let now = self.context.clock.now();
+        let mut plans = HashMap::new();
+        let mut silence = HashMap::new();
+        for service in routes.services.values() {
+            self.advance(service, now);
+            for shard in &service.shards {
+                for upstream in &shard.replicas {
+                    let owned = self.is_sender(service, shard);
+                    plans.insert(
+                        upstream.spec.address,
+                        self.link_plan(service, shard, upstream),
+                    );
+                    silence.insert(upstream.spec.address, silence_limit(upstream));
+                    if owned {
+                        self.poll(upstream, now);
+                    }
+                }
+            }
+        }
+        self.context.pool.configure(&plans);
+        let limit = |address: SocketAddr| silence.get(&address).copied().unwrap_or(LEAST_SILENCE);
+        self.context.pool.maintain(limit);
+    }
+
+    fn advance(&self, service: &ServiceRoute, now: ClockTime) {
+        service.gate.advance();
+        service.refresh_hedges();
+        self.eject(service, now);
+        let name = service.spec.name.to_string();
+        let (running, waiting, limit) = service.gate.lengths();
+        gauge!("anvilhub_requests_running", "service" => name.clone()).set(running);
+        gauge!("anvilhub_requests_waiting", "service" => name.clone()).set(waiting as f64);
+        gauge!("anvilhub_admission_limit", "service" => name.clone()).set(limit);
+        let mut queued = 0;
+        for shard in &service.shards {
+            let usable = shard.usable_slots(now);
+            shard.queue.set_slots(self.share_of(service, shard, usable));
+            queued += shard.queue.lengths().1;
+        }
+        gauge!("anvilhub_sub_requests_waiting", "service" => name).set(queued as f64);
+    }
+
+    /// Says whether this instance is the one that usually sends to the shard.
+    fn is_sender(&self, service: &ServiceRoute, shard: &ShardRoute) -> bool {
+        let spec = &service.spec;
+        spec.route.mode == RouteMode::Direct
+            || self.context.owner_of(&spec.name, &shard.name).is_none()
+    }
+
+    /// Slots that this instance may occupy: all of a shard that it owns, its share of others.
+    fn share_of(&self, service: &ServiceRoute, shard: &ShardRoute, usable: SlotCount) -> SlotCount {
+        let owns = service.spec.route.mode == RouteMode::Owner && self.is_sender(service, shard);
+        match owns {
+            true => usable,
+            false => SlotCount((usable.get() / self.context.live_entries().max(1)).max(1)),
+        }
+    }
+
+    fn link_plan(
+        &self,
+        service: &ServiceRoute,
+        shard: &ShardRoute,
+        upstream: &UpstreamRoute,
+    ) -> LinkPlan {
+        let division = ConnectionShare::new(self.context.live_entries());
+        let (limit, rank) = (upstream.spec.connections, self.context.entry_rank());
+        let sends = self.is_sender(service, shard);
+        let share = match (service.spec.route.mode, sends) {
+            (RouteMode::Direct, _) => division.direct(limit, rank),
+            (RouteMode::Owner, true) => division.owner(limit, rank),
+            (RouteMode::Owner, false) => division.bypass(limit, rank),
+        };
+        let warm = match sends && upstream.leaving().is_none() {
+            true => share.min(upstream.spec.slots.get() * WARM_PER_SLOT),
+            false => 0,
+        };
+        LinkPlan { share, warm }
+    }
+
+    fn eject(&self, service: &ServiceRoute, now: ClockTime) {
+        let mut upstreams = Vec::new();
+        let mut candidates = Vec::new();
+        for (index, shard) in service.shards.iter().enumerate() {
+            if !self.is_sender(service, shard) {
+                continue;
+            }
+            for upstream in &shard.replicas {
+                candidates.push(ejection_candidate(index, upstream, now));
+                upstreams.push(upstream);
+            }
+        }
+        for index in EjectionPolicy.plan(&candidates) {
+            let upstream = upstreams[index];
+            let until = upstream.state.with(|state| state.view.eject(now));
+            let latency_us = candidates[index]
+                .latency
+                .map(|latency| latency.as_micros() as u64);
+            warn!(
+                upstream:% = upstream.spec.id, service:% = service.spec.name, latency_us:?,
+                failures = candidates[index].failures, millis = until.since(now).as_millis() as u64;
+                "upstream ejected: slower than its peers or failing"
+            );
+            let service = service.spec.name.to_string();
+            counter!("anvilhub_ejections_total", "service" => service).increment(1);
+        }
+    }
+
+    /// Asks an upstream for its load, at most once per interval.
+    fn poll(&self, upstream: &Arc<UpstreamRoute>, now: ClockTime) {
+        let is_due = upstream.state.with(|state| {
+            state
+                .polled
+                .is_none_or(|polled| now.since(polled) >= POLL_INTERVAL)
+        });
+        if !is_due {
+            return;
+        }
+        let Ok(permit) = Arc::clone(&self.polls).try_acquire_owned() else {
+            return;
+        };
+        upstream.state.with(|state| state.polled = Some(now));
+        let context = Arc::clone(&self.context);
+        let upstream = Arc::clone(upstream);
+        self.runtime.spawn(async move {
+            read_load(&context, &upstream).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn read_load(context: &EntryContext, upstream: &UpstreamRoute) {
+    let address = upstream.spec.address;
+    let read = async {
+        let pool = &context.pool;
+        let lease = pool
+            .acquire(address, RepeatPolicy::Idempotent, POLL_TIMEOUT)
+            .await?;
+        lease.load().await
+    };
+    let report = timeout(POLL_TIMEOUT, read)
+        .await
+        .unwrap_or(Err(PoolError::Timeout { address }));
+    match report {
+        Ok(report) => upstream.reported(context.clock.now(), &report),
+        Err(error) => {
+            if matches!(error, PoolError::Unconnected { .. }) {
+                upstream.absent();
+            }
+            debug!(upstream:% = upstream.spec.id; "no load report: {error}");
+        }
+    }
+}
+
+fn ejection_candidate(shard: usize, upstream: &UpstreamRoute, now: ClockTime) -> EjectionCandidate {
+    upstream.state.with(|state| EjectionCandidate {
+        shard,
+        latency: state.view.latency(),
+        samples: state.view.samples(),
+        failures: state.view.failures(),
+        leaving: state.view.leaving().is_some(),
+        ejected: state.view.is_ejected(now),
+    })
+}
+
+fn silence_limit(upstream: &UpstreamRoute) -> Duration {
+    let latency = upstream.state.with(|state| state.view.latency());
+    latency.map_or(LEAST_SILENCE, |latency| {
+        LEAST_SILENCE.max(latency * SILENCE_FACTOR)
+    })
+}
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::caller::CallerServer;
 use crate::clock::DaemonClock;
 use crate::context::EntryContext;
-use crate::controllers::ConfigController;
+use crate::controllers::{ConfigController, UpstreamController};
 use crate::lifecycle::{Draining, InstanceLifecycle, Ready};
 use crate::logging;
 use crate::operator::OperatorServer;
@@ -42,6 +42,7 @@
     OperatorServer::new(Arc::clone(&context), metrics, drain_sender.clone()).spawn()?;
     forward_signals(drain_sender)?;
     ConfigController::new(Arc::clone(&context), accepted_sender).spawn()?;
+    UpstreamController::new(Arc::clone(&context), runtime.handle().clone()).spawn()?;
 
     info!(instance:% = context.settings.instance; "waiting for a sheet");
     select! {
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -1,20 +1,18 @@
 use std::sync::Arc;
 
-use anvilhub_coord::border::query::{
-    CoverageEntry, MissingEntry, MissingReason, QueryAnswer, QueryOutcome,
-};
-use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
-use anvilhub_coord::ids::{RequestId, ServiceName};
-use anvilhub_coord::keyspace::{KeyRange, RangeSet};
-use anvilhub_coord::sheet::{ReplicaSpec, ShardSpec};
-use futures_util::future::join_all;
-use log::info;
+use anvilhub_coord::border::query::{CoverageEntry, ErrorEntry, QueryAnswer, QueryOutcome};
+use anvilhub_coord::gather::CoverageReport;
+use anvilhub_coord::ids::ServiceName;
+use metrics::{counter, histogram};
 
+use crate::admission::AdmissionPermit;
 use crate::context::EntryContext;
-use crate::filters::{EntryRequest, Result};
-use crate::pool::PoolError;
+use crate::filters::{EntryRequest, RequestError, Result};
+use crate::routes::ServiceRoute;
 
-/// Sends a request's sub-requests and gathers their answers.
+use super::{GatheredRequest, QueryBody, RequestRun, answer_time};
+
+/// Admits requests and answers them from what their sub-requests gather.
 pub(crate) struct FanoutRunner {
     context: Arc<EntryContext>,
 }
@@ -24,154 +22,116 @@
         Self { context }
     }
 
+    /// Runs a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request is not admitted; nothing was sent then.
     pub(crate) async fn run(&self, request: &EntryRequest) -> Result<QueryAnswer> {
-        let service = request.service()?;
-        let idempotent = request.is_idempotent(service);
-        let asked = request.range();
-        let shards: Vec<_> = service.shards_in(asked).collect();
-        let answers = join_all(
-            shards
-                .iter()
-                .map(|shard| self.query_shard(request, shard, idempotent)),
-        )
-        .await;
-        let newest = answers.iter().flatten().map(|answer| answer.snapshot).max();
-        let mut covered = RangeSet::default();
-        let mut rows = Vec::new();
-        let mut missing = Vec::new();
-        for (shard, answer) in shards.iter().zip(answers) {
-            let part = shard.range.intersect(asked);
-            match answer {
-                Ok(answer) if Some(answer.snapshot) == newest => {
-                    let searched = KeyRange::new(answer.start, answer.end).intersect(part);
-                    covered.insert(searched);
-                    rows.extend(
-                        answer
-                            .rows
-                            .into_iter()
-                            .filter(|row| searched.contains(row.key)),
-                    );
-                    let gaps = [searched].into_iter().collect::<RangeSet>().gaps_in(part);
-                    missing.extend(missing_entries(&gaps, MissingReason::Repartitioned));
-                }
-                Ok(_) => missing.push(missing_entry(part, MissingReason::SnapshotUnavailable)),
-                Err(reason) => missing.push(missing_entry(part, reason)),
-            }
-        }
-        Ok(QueryAnswer {
-            request_id: request.query.request_id.clone(),
-            outcome: QueryOutcome::Done,
-            rows,
-            snapshot: newest,
-            coverage: Some(CoverageEntry {
-                complete: covered.covers(asked),
-                fraction: covered.len() as f64 / asked.len().max(1) as f64,
-                missing,
-            }),
-            ticket: None,
-            error: None,
-        })
+        let routes = self.context.route_store.for_sheet(&request.sheet);
+        let name = &request.query.service;
+        let service = routes
+            .services
+            .get(name)
+            .ok_or_else(|| RequestError::UnknownService {
+                service: name.clone(),
+            })?;
+        let body = query_body(request, service);
+        let _permit = self.admit(&body).await?;
+        let run = RequestRun::new(Arc::clone(&self.context), body, request.range());
+        let answer = answer(request, run.run().await);
+        self.measure(request, &answer);
+        Ok(answer)
     }
 
-    async fn query_shard(
-        &self,
-        request: &EntryRequest,
-        shard: &ShardSpec,
-        idempotent: bool,
-    ) -> std::result::Result<SubAnswer, MissingReason> {
-        let mut reason = MissingReason::NoReplica;
-        for (attempt, replica) in shard.replicas.iter().enumerate() {
-            log_choice(
-                &request.query.request_id,
-                &request.query.service,
-                shard,
-                replica,
-                attempt,
-            );
-            match self.query_replica(request, shard, replica, attempt).await {
-                Ok(answer) => return Ok(answer),
-                Err(error) => {
-                    reason = missing_reason(&error);
-                    if !idempotent && !error.proves_not_run() {
-                        break;
-                    }
-                }
+    async fn admit(&self, body: &QueryBody) -> Result<AdmissionPermit> {
+        let entry = body.service.gate.enter(body.urgency, body.deadline).await;
+        entry.map_err(|refusal| {
+            let service = body.service.spec.name.clone();
+            counter!(
+                "anvilhub_refusals_total",
+                "service" => service.to_string(), "reason" => refusal.reason.to_string()
+            )
+            .increment(1);
+            RequestError::NotAdmitted {
+                service,
+                reason: refusal.reason,
+                estimated_wait: refusal.estimated_wait,
             }
-        }
-        Err(reason)
+        })
     }
 
-    async fn query_replica(
-        &self,
-        request: &EntryRequest,
-        shard: &ShardSpec,
-        replica: &ReplicaSpec,
-        attempt: usize,
-    ) -> crate::pool::Result<SubAnswer> {
-        let remaining = request.deadline.since(self.context.clock.now());
-        let range = shard.range.intersect(request.range());
-        let sub_request = SubRequest {
-            request_id: sub_request_id(&request.query.request_id, shard, attempt),
-            service: request.query.service.clone(),
-            start: range.start,
-            end: range.end,
-            snapshot: None,
-            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            idempotent: request.query.idempotent,
-            key: request.query.key,
-            query: request.query.query.clone(),
-        };
-        self.context
-            .pool
-            .query(replica.address, &sub_request, remaining)
-            .await
+    fn measure(&self, request: &EntryRequest, answer: &QueryAnswer) {
+        let service = label(&request.query.service);
+        let seconds = self
+            .context
+            .clock
+            .now()
+            .since(request.arrived)
+            .as_secs_f64();
+        let fraction = answer.coverage.as_ref().map_or(0.0, |entry| entry.fraction);
+        counter!(
+            "anvilhub_requests_total",
+            "service" => service.clone(), "outcome" => answer.outcome.to_string()
+        )
+        .increment(1);
+        histogram!("anvilhub_request_duration_seconds", "service" => service.clone())
+            .record(seconds);
+        histogram!("anvilhub_coverage_ratio", "service" => service).record(fraction);
     }
 }
 
-/// Identifier that no other sub-request of the instance has.
-fn sub_request_id(request: &RequestId, shard: &ShardSpec, attempt: usize) -> RequestId {
-    let text = format!("{request}/{}/{attempt}", shard.name);
-    serde_json::from_value(text.into()).expect("any text is a request identifier at the border")
+fn label(service: &ServiceName) -> String {
+    service.to_string()
 }
 
-fn log_choice(
-    request: &RequestId,
-    service: &ServiceName,
-    shard: &ShardSpec,
-    replica: &ReplicaSpec,
-    attempt: usize,
-) {
-    let reason = if attempt == 0 {
-        "first replica of the shard"
-    } else {
-        "the replica before it failed"
-    };
-    info!(
-        request_id:% = request, service:% = service, shard:% = shard.name, upstream:% = replica.id,
-        attempt, reason; "sub-request routed"
-    );
+fn query_body(request: &EntryRequest, service: &Arc<ServiceRoute>) -> QueryBody {
+    let spec = &service.spec;
+    let claimed = request.query.urgency.unwrap_or(spec.urgency);
+    QueryBody {
+        request_id: request.query.request_id.clone(),
+        service: Arc::clone(service),
+        // A caller cannot claim a higher urgency than its service has.
+        urgency: claimed.max(spec.urgency),
+        idempotent: request.is_idempotent(spec),
+        key: request.query.key,
+        query: request.query.query.clone(),
+        deadline: answer_time(request.arrived, request.deadline),
+    }
 }
 
-fn missing_reason(error: &PoolError) -> MissingReason {
-    match error {
-        PoolError::Unconnected { .. } => MissingReason::NoReplica,
-        PoolError::Refused { .. } => MissingReason::Shed,
-        PoolError::Timeout { .. } | PoolError::Broken { .. } => MissingReason::Timeout,
-        PoolError::BadAnswer { .. } | PoolError::OversizedAnswer { .. } => MissingReason::BadAnswer,
+fn answer(request: &EntryRequest, gathered: GatheredRequest) -> QueryAnswer {
+    let GatheredRequest { answer, is_not_run } = gathered;
+    let is_empty = answer.coverage.fraction == 0.0;
+    let outcome = match (is_empty, is_not_run) {
+        (false, _) => QueryOutcome::Done,
+        (true, true) => QueryOutcome::NotRun,
+        (true, false) => QueryOutcome::Unknown,
+    };
+    QueryAnswer {
+        request_id: request.query.request_id.clone(),
+        outcome,
+        rows: answer.rows,
+        snapshot: answer.snapshot,
+        error: is_empty.then(|| no_answer(&answer.coverage)),
+        coverage: Some(coverage_entry(&answer.coverage)),
+        ticket: None,
     }
 }
 
-fn missing_entries(gaps: &RangeSet, reason: MissingReason) -> Vec<MissingEntry> {
-    gaps.ranges()
-        .iter()
-        .map(|&gap| missing_entry(gap, reason))
-        .collect()
+fn no_answer(coverage: &CoverageReport) -> ErrorEntry {
+    let reasons: Vec<_> = coverage.missing.iter().map(ToString::to_string).collect();
+    ErrorEntry {
+        code: "no_answer".to_owned(),
+        message: format!("no shard answered: {}", reasons.join(", ")),
+        remedy: "send the request again; if it fails again, look at `anvilhub explain`".to_owned(),
+    }
 }
 
-fn missing_entry(range: KeyRange, reason: MissingReason) -> MissingEntry {
-    MissingEntry {
-        start: range.start,
-        end: range.end,
-        reason,
+fn coverage_entry(report: &CoverageReport) -> CoverageEntry {
+    CoverageEntry {
+        complete: report.complete,
+        fraction: report.fraction,
+        missing: report.missing.iter().map(Into::into).collect(),
     }
 }
--- a/crates/anvilhubd/src/fanout/mod.rs
+++ b/crates/anvilhubd/src/fanout/mod.rs
@@ -1,5 +1,31 @@
 //! Sub-requests of one request: sending, gathering, answering.
 
+mod batch_call;
+#[allow(dead_code, reason = "called by the peer server")]
+mod batch_run;
 mod fanout_runner;
+mod hop_cost;
+mod owner_table;
+mod piece_end;
+mod request_run;
+mod route_explanation;
+mod sub_attempt;
+mod sub_query;
+mod sub_request_ids;
+mod sub_run;
 
+#[allow(unused_imports, reason = "called by the peer server")]
+pub(crate) use batch_run::run_batch;
 pub(crate) use fanout_runner::FanoutRunner;
+pub(crate) use owner_table::OwnerTable;
+#[allow(unused_imports, reason = "called by the operator server")]
+pub(crate) use route_explanation::RouteExplanation;
+pub(crate) use sub_request_ids::SubRequestIds;
+
+use batch_call::BatchCall;
+use hop_cost::{after_hop, answer_time};
+use piece_end::PieceEnd;
+use request_run::{GatheredRequest, RequestRun};
+use sub_attempt::{AttemptEnd, SubAttempt};
+use sub_query::{QueryBody, SubQuery};
+use sub_run::{SubOutcome, SubRun};
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -1,7 +1,9 @@
+use anvilhub_coord::admission::RefusalReason;
 use anvilhub_coord::border::query::{ErrorEntry, QueryAnswer, QueryOutcome};
 use anvilhub_coord::ids::{ByteSize, CallerName, RequestId, ServiceName};
 use derive_more::{Display, Error};
 use hyper::StatusCode;
+use std::time::Duration;
 
 /// Why a request was refused or failed.
 #[derive(Clone, Debug, Display, Error, PartialEq)]
@@ -27,6 +29,13 @@
     UnknownKey { key: u64 },
     #[display("no sheet is in force yet")]
     NotReady,
+    #[display("service `{service}` did not admit the request: {reason}")]
+    NotAdmitted {
+        service: ServiceName,
+        #[error(not(source))]
+        reason: RefusalReason,
+        estimated_wait: Duration,
+    },
 }
 
 impl RequestError {
@@ -39,6 +48,10 @@
             Self::CallerNotServed { .. } => StatusCode::FORBIDDEN,
             Self::DeadlineExpired { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotAdmitted { reason, .. } => match reason {
+                RefusalReason::QueueFull | RefusalReason::Shed => StatusCode::TOO_MANY_REQUESTS,
+                RefusalReason::TooLate | RefusalReason::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            },
         }
     }
 
@@ -54,6 +67,20 @@
             Self::DeadlineExpired { .. } => "deadline_expired",
             Self::UnknownKey { .. } => "unknown_key",
             Self::NotReady => "not_ready",
+            Self::NotAdmitted { reason, .. } => match reason {
+                RefusalReason::TooLate => "too_late",
+                RefusalReason::Expired => "expired",
+                RefusalReason::QueueFull => "queue_full",
+                RefusalReason::Shed => "shed",
+            },
+        }
+    }
+
+    /// Whole seconds after which another try may be admitted.
+    pub(crate) fn retry_after(&self) -> Option<u64> {
+        match self {
+            Self::NotAdmitted { estimated_wait, .. } => Some(estimated_wait.as_secs() + 1),
+            _ => None,
         }
     }
 
@@ -68,6 +95,14 @@
             Self::DeadlineExpired { .. } => "send the request with more time",
             Self::UnknownKey { .. } => "use a key from 0 to 4294967295",
             Self::NotReady => "send the request to an instance that is ready",
+            Self::NotAdmitted { reason, .. } => match reason {
+                RefusalReason::TooLate | RefusalReason::Expired => {
+                    "wait as `Retry-After` says, or send the request with more time"
+                }
+                RefusalReason::QueueFull | RefusalReason::Shed => {
+                    "wait as `Retry-After` says, or send the request with a higher urgency"
+                }
+            },
         }
     }
 
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon `anvilhubd`: I/O around the decisions of `anvilhub-coord`.
 
+mod admission;
 mod caller;
 mod clock;
 mod context;
@@ -12,6 +13,7 @@
 mod operator;
 mod peer;
 mod pool;
+mod routes;
 mod settings;
 mod settings_error;
 
--- /dev/null
+++ b/crates/anvilhubd/src/pool/connection_lease.rs
@@ -0,0 +1,196 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhub_coord::border::upstream::{
+    CancelRequest, LoadReport, SubAnswer, SubRefusal, SubRequest,
+};
+use anvilhub_coord::connection::ConnectionId;
+use anvilhub_coord::ids::ByteSize;
+use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::mutation;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::{PoolError, Result, UpstreamConnection, UpstreamLink};
+
+/// Largest answer of a health, load or cancel endpoint.
+const MAX_REPORT: ByteSize = ByteSize(64 * 1024);
+/// Longest wait for a probe: health endpoints answer at once.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A connection that carries one request of its holder.
+///
+/// It goes back to its link when the whole answer has arrived and belongs to the request. Dropped before, the
+/// connection is closed: it may deliver the answer to the next request.
+pub(crate) struct ConnectionLease {
+    link: Arc<UpstreamLink>,
+    id: ConnectionId,
+    connection: Option<UpstreamConnection>,
+    /// Resolves when the link finds the connection silent.
+    silent: oneshot::Receiver<()>,
+}
+
+impl ConnectionLease {
+    pub(super) fn new(
+        link: Arc<UpstreamLink>,
+        id: ConnectionId,
+        connection: UpstreamConnection,
+        silent: oneshot::Receiver<()>,
+    ) -> Self {
+        Self {
+            link,
+            id,
+            connection: Some(connection),
+            silent,
+        }
+    }
+
+    /// Waits until the connection takes a request; `false` when it was closed meanwhile.
+    pub(super) async fn is_ready(&mut self) -> bool {
+        match &mut self.connection {
+            Some(connection) => connection.is_ready().await,
+            None => false,
+        }
+    }
+
+    /// Sends a sub-request and reads its answer.
+    pub(crate) async fn query(
+        mut self,
+        request: &SubRequest,
+        limit: ByteSize,
+    ) -> Result<SubAnswer> {
+        let address = self.link.address();
+        let (status, body) = self.post("/query", request, limit).await?;
+        let result = match status {
+            StatusCode::OK => parse_answer(address, request, &body),
+            StatusCode::SERVICE_UNAVAILABLE => Err(parse_refusal(address, request, &body)),
+            other => Err(bad_answer(address, format!("HTTP status {other}"))),
+        };
+        if matches!(result, Ok(_) | Err(PoolError::Refused { .. })) {
+            self.finish();
+        }
+        result
+    }
+
+    /// Asks the upstream to stop working on a sub-request that was sent on another connection.
+    pub(crate) async fn cancel(mut self, request: &CancelRequest) -> Result<()> {
+        self.post("/cancel", request, MAX_REPORT).await?;
+        self.finish();
+        Ok(())
+    }
+
+    /// Reads the upstream's load report.
+    pub(crate) async fn load(mut self) -> Result<LoadReport> {
+        let address = self.link.address();
+        let (status, body) = self
+            .exchange(Method::GET, "/load", Vec::new(), MAX_REPORT)
+            .await?;
+        if status != StatusCode::OK {
+            self.finish();
+            return Err(bad_answer(address, format!("HTTP status {status}")));
+        }
+        let report = parse(address, &body)?;
+        self.finish();
+        Ok(report)
+    }
+
+    /// Reads the health endpoint. Any answer proves that the connection works, even one that says unhealthy.
+    pub(super) async fn probe(mut self) {
+        let health = self.exchange(Method::GET, "/health", Vec::new(), MAX_REPORT);
+        if matches!(timeout(PROBE_TIMEOUT, health).await, Ok(Ok(_))) {
+            self.finish();
+        }
+    }
+
+    /// Gives a fresh connection back unused.
+    pub(crate) fn rest(mut self) {
+        self.finish();
+    }
+
+    async fn post(
+        &mut self,
+        path: &str,
+        message: &impl Serialize,
+        limit: ByteSize,
+    ) -> Result<(StatusCode, Bytes)> {
+        let body = serde_json::to_vec(message).expect("border types serialize to JSON");
+        self.exchange(Method::POST, path, body, limit).await
+    }
+
+    async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: ByteSize,
+    ) -> Result<(StatusCode, Bytes)> {
+        let connection = self.connection.as_mut().expect("a lease is used once");
+        let address = connection.address();
+        let (link, id) = (&self.link, self.id);
+        let exchange = connection.exchange(method, path, body, limit, || link.byte_received(id));
+        tokio::select! {
+            result = exchange => result,
+            _ = &mut self.silent => Err(PoolError::Broken {
+                address,
+                reason: "the connection is silent while others answer".to_owned(),
+            }),
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.link.finished(self.id, connection);
+        }
+    }
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.link.closed(self.id);
+        }
+    }
+}
+
+fn parse_answer(address: SocketAddr, request: &SubRequest, body: &[u8]) -> Result<SubAnswer> {
+    let answer: SubAnswer = parse(address, body)?;
+    let is_other = answer.request_id != request.request_id;
+    if is_other && !mutation::is_active("crossed_answer_accepted") {
+        let reason = format!("it answers request {}", answer.request_id);
+        return Err(bad_answer(address, reason));
+    }
+    let asked = KeyRange::new(request.start, request.end);
+    let found = KeyRange::new(answer.start, answer.end);
+    let is_within = found.start <= found.end && asked.covers(found);
+    match is_within || mutation::is_active("any_range_counts") {
+        true => Ok(answer),
+        false => Err(bad_answer(
+            address,
+            format!("it claims {found} of the asked {asked}"),
+        )),
+    }
+}
+
+fn parse_refusal(address: SocketAddr, request: &SubRequest, body: &[u8]) -> PoolError {
+    match parse::<SubRefusal>(address, body) {
+        Ok(refusal) if refusal.request_id == request.request_id => PoolError::Refused { refusal },
+        Ok(refusal) => bad_answer(
+            address,
+            format!("it refuses request {}", refusal.request_id),
+        ),
+        Err(error) => error,
+    }
+}
+
+fn parse<T: DeserializeOwned>(address: SocketAddr, body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| bad_answer(address, error.to_string()))
+}
+
+fn bad_answer(address: SocketAddr, reason: String) -> PoolError {
+    PoolError::BadAnswer { address, reason }
+}
--- a/crates/anvilhubd/src/pool/pool_error.rs
+++ b/crates/anvilhubd/src/pool/pool_error.rs
@@ -34,6 +34,7 @@
 }
 
 impl PoolError {
+    #[allow(dead_code, reason = "called by the ticket path")]
     /// Says whether the error proves that the upstream did not run the sub-request.
     pub(crate) fn proves_not_run(&self) -> bool {
         matches!(self, Self::Unconnected { .. } | Self::Refused { .. })
--- a/crates/anvilhubd/src/pool/upstream_connection.rs
+++ b/crates/anvilhubd/src/pool/upstream_connection.rs
@@ -1,25 +1,28 @@
 use std::net::SocketAddr;
 
-use anvilhub_coord::border::upstream::{SubAnswer, SubRefusal, SubRequest};
 use anvilhub_coord::ids::ByteSize;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use serde::Serialize;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use super::{PoolError, Result};
 
-/// One open connection to an upstream. It carries one request at a time.
+/// Largest head of an answer; upstreams send a few hundred bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// One open connection to an upstream. It carries one request at a time, and is closed when it is dropped.
 ///
 /// hyper's connection API never sends a request a second time by itself, which non-idempotent requests
 /// depend on.
 pub(crate) struct UpstreamConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
 }
 
 impl UpstreamConnection {
@@ -34,11 +37,21 @@
         stream
             .set_nodelay(true)
             .map_err(|error| unconnected(&error))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| unconnected(&error))?;
-        tokio::spawn(connection);
-        Ok(Self { address, sender })
+        let driver = tokio::spawn(connection).abort_handle();
+        Ok(Self {
+            address,
+            sender,
+            driver,
+        })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Says whether another request can be sent.
@@ -46,87 +59,81 @@
         !self.sender.is_closed()
     }
 
-    /// Sends a sub-request and reads its answer.
-    pub(crate) async fn query(
-        &mut self,
-        request: &SubRequest,
-        limit: ByteSize,
-    ) -> Result<SubAnswer> {
-        let response = self.post("/query", request).await?;
-        let status = response.status();
-        let body = self.read_body(response, limit).await?;
-        match status {
-            StatusCode::OK => self.parse_answer(request, &body),
-            StatusCode::SERVICE_UNAVAILABLE => Err(self.parse_refusal(request, &body)),
-            other => Err(self.bad_answer(format!("HTTP status {other}"))),
-        }
+    /// Waits until a request can be sent; `false` when the connection is closed.
+    pub(crate) async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
     }
 
-    async fn post(&mut self, path: &str, message: &impl Serialize) -> Result<Response<Incoming>> {
-        let body = serde_json::to_vec(message).expect("border types serialize to JSON");
+    /// Sends a request and reads the answer, calling `on_bytes` whenever a part of it arrives.
+    pub(crate) async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: ByteSize,
+        on_bytes: impl Fn(),
+    ) -> Result<(StatusCode, Bytes)> {
         let request = Request::builder()
-            .method(Method::POST)
+            .method(method)
             .uri(path)
             .header(header::HOST, self.address.to_string())
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .expect("a constant request head is valid");
-        self.sender
-            .ready()
-            .await
-            .map_err(|error| PoolError::Unconnected {
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            // hyper gives the message back when it wrote nothing of it.
+            Some(_) => PoolError::Unconnected {
                 address: self.address,
-                reason: error.to_string(),
-            })?;
-        self.sender
-            .send_request(request)
-            .await
-            .map_err(|error| self.broken(&error))
-    }
-
-    async fn read_body(&self, response: Response<Incoming>, limit: ByteSize) -> Result<Bytes> {
-        let bytes = usize::try_from(limit.get()).unwrap_or(usize::MAX);
-        let body = Limited::new(response.into_body(), bytes).collect().await;
-        match body {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(PoolError::OversizedAnswer {
-                address: self.address,
-                limit,
-            }),
-            Err(error) => Err(self.broken(&error)),
-        }
+                reason: error.error().to_string(),
+            },
+            None => self.broken(error.error()),
+        })?;
+        on_bytes();
+        let status = response.status();
+        let body = self.read_body(response, limit, on_bytes).await?;
+        Ok((status, body))
     }
 
-    fn parse_answer(&self, request: &SubRequest, body: &[u8]) -> Result<SubAnswer> {
-        let answer: SubAnswer =
-            serde_json::from_slice(body).map_err(|error| self.bad_answer(error.to_string()))?;
-        match answer.request_id == request.request_id {
-            true => Ok(answer),
-            false => Err(self.bad_answer(format!("it answers request {}", answer.request_id))),
+    async fn read_body(
+        &self,
+        response: Response<Incoming>,
+        limit: ByteSize,
+        on_bytes: impl Fn(),
+    ) -> Result<Bytes> {
+        let oversized = PoolError::OversizedAnswer {
+            address: self.address,
+            limit,
+        };
+        let mut body = response.into_body();
+        if body.size_hint().lower() > limit.get() {
+            return Err(oversized);
         }
-    }
-
-    fn parse_refusal(&self, request: &SubRequest, body: &[u8]) -> PoolError {
-        match serde_json::from_slice::<SubRefusal>(body) {
-            Ok(refusal) if refusal.request_id == request.request_id => {
-                PoolError::Refused { refusal }
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| self.broken(&error))?;
+            on_bytes();
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if (bytes.len() + data.len()) as u64 > limit.get() {
+                return Err(oversized);
             }
-            Ok(refusal) => self.bad_answer(format!("it refuses request {}", refusal.request_id)),
-            Err(error) => self.bad_answer(error.to_string()),
+            bytes.extend_from_slice(&data);
         }
+        Ok(bytes.freeze())
     }
 
-    fn broken(&self, reason: &dyn std::fmt::Display) -> PoolError {
+    pub(crate) fn broken(&self, reason: &dyn std::fmt::Display) -> PoolError {
         PoolError::Broken {
             address: self.address,
             reason: reason.to_string(),
         }
     }
+}
 
-    fn bad_answer(&self, reason: String) -> PoolError {
-        PoolError::BadAnswer {
-            address: self.address,
-            reason,
-        }
+impl Drop for UpstreamConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
     }
 }
--- a/crates/anvilhubd/src/pool/upstream_pool.rs
+++ b/crates/anvilhubd/src/pool/upstream_pool.rs
@@ -1,39 +1,51 @@
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
 use anvilhub_coord::ids::ByteSize;
-use crossbeam::utils::CachePadded;
+use anvilhub_coord::sheet::RepeatPolicy;
 use tokio::time::timeout;
 
 use crate::DaemonSettings;
+use crate::clock::DaemonClock;
+use crate::routes::RouteCell;
 
-use super::{PoolError, Result, UpstreamConnection};
+use super::{ConnectionLease, LinkPlan, PoolError, Result, UpstreamLink};
 
 /// Number of independently locked parts of the pool.
 const POOL_SHARDS: usize = 16;
+/// Connections to an upstream that the pool has no plan for yet.
+const UNPLANNED: LinkPlan = LinkPlan { share: 1, warm: 0 };
 
-type IdleConnections = HashMap<SocketAddr, Vec<UpstreamConnection>>;
+type LinkMap = HashMap<SocketAddr, Arc<UpstreamLink>>;
 
-/// Idle connections to all upstreams, in shards with a lock each.
+/// The links to all upstreams, in shards with a lock each.
 pub(crate) struct UpstreamPool {
-    shards: Vec<CachePadded<Mutex<IdleConnections>>>,
+    shards: Vec<RouteCell<LinkMap>>,
+    clock: DaemonClock,
     connect_timeout: Duration,
     max_answer: ByteSize,
 }
 
 impl UpstreamPool {
-    pub(crate) fn new(settings: &DaemonSettings) -> Self {
+    pub(crate) fn new(settings: &DaemonSettings, clock: DaemonClock) -> Self {
         Self {
-            shards: (0..POOL_SHARDS).map(|_| CachePadded::default()).collect(),
+            shards: (0..POOL_SHARDS).map(|_| RouteCell::default()).collect(),
+            clock,
             connect_timeout: settings.connect_timeout,
             max_answer: settings.max_answer,
         }
     }
 
+    /// Largest accepted answer.
+    pub(crate) fn max_answer(&self) -> ByteSize {
+        self.max_answer
+    }
+
+    #[allow(dead_code, reason = "called by the ticket path")]
     /// Sends a sub-request and waits for its answer for at most `patience`.
     pub(crate) async fn query(
         &self,
@@ -41,55 +53,93 @@
         request: &SubRequest,
         patience: Duration,
     ) -> Result<SubAnswer> {
-        let exchange = async {
-            let mut connection = self.checkout(address).await?;
-            let result = connection.query(request, self.max_answer).await;
-            // A connection whose answer did not match may deliver the right one to the next request.
-            if matches!(result, Ok(_) | Err(PoolError::Refused { .. })) {
-                self.check_in(address, connection);
-            }
-            result
+        let repeat = match request.idempotent {
+            true => RepeatPolicy::Idempotent,
+            false => RepeatPolicy::NonIdempotent,
         };
-        timeout(patience, exchange)
+        let started = self.clock.now();
+        let lease = self.acquire(address, repeat, patience).await?;
+        let left = patience.saturating_sub(self.clock.now().since(started));
+        timeout(left, lease.query(request, self.max_answer))
             .await
             .unwrap_or(Err(PoolError::Timeout { address }))
     }
 
-    async fn checkout(&self, address: SocketAddr) -> Result<UpstreamConnection> {
-        while let Some(connection) = self.pop_idle(address) {
-            if connection.is_usable() {
-                return Ok(connection);
-            }
-        }
-        let opening = timeout(self.connect_timeout, UpstreamConnection::open(address)).await;
-        opening.unwrap_or_else(|_| {
-            Err(PoolError::Unconnected {
-                address,
-                reason: "connecting timed out".to_owned(),
+    /// Waits for a connection for at most `patience`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none opened or became free in time: nothing was sent.
+    pub(crate) async fn acquire(
+        &self,
+        address: SocketAddr,
+        repeat: RepeatPolicy,
+        patience: Duration,
+    ) -> Result<ConnectionLease> {
+        let link = self.link(address);
+        timeout(patience, link.acquire(repeat))
+            .await
+            .unwrap_or_else(|_| {
+                Err(PoolError::Unconnected {
+                    address,
+                    reason: "every connection of the share was in use".to_owned(),
+                })
             })
-        })
     }
 
-    fn pop_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
-        self.with_shard(address, |idle| idle.get_mut(&address)?.pop())
+    /// Follows the sheet and the number of instances. Connections to upstreams without a plan are closed.
+    pub(crate) fn configure(&self, plans: &HashMap<SocketAddr, LinkPlan>) {
+        for (&address, &plan) in plans {
+            self.planned_link(address, plan).configure(plan);
+        }
+        for shard in &self.shards {
+            shard.with(|links| {
+                links.retain(|address, link| {
+                    let planned = plans.contains_key(address);
+                    if !planned {
+                        link.retire();
+                    }
+                    planned || !link.is_empty()
+                });
+            });
+        }
+    }
+
+    /// Looks after the connections of every link; `limit` gives the silence limit of an upstream.
+    pub(crate) fn maintain(&self, limit: impl Fn(SocketAddr) -> Duration) {
+        for link in self.links() {
+            link.maintain(limit(link.address()));
+        }
     }
 
-    fn check_in(&self, address: SocketAddr, connection: UpstreamConnection) {
-        if !connection.is_usable() {
-            return;
+    /// Makes idle connections suspect, such as after a pause of this process.
+    #[allow(dead_code, reason = "called by the pause controller")]
+    pub(crate) fn doubt_all(&self) {
+        for link in self.links() {
+            link.doubt();
         }
-        self.with_shard(address, |idle| {
-            idle.entry(address).or_default().push(connection)
-        });
     }
 
-    fn with_shard<T>(&self, address: SocketAddr, act: impl FnOnce(&mut IdleConnections) -> T) -> T {
+    fn links(&self) -> Vec<Arc<UpstreamLink>> {
+        self.shards
+            .iter()
+            .flat_map(|shard| shard.with(|links| links.values().cloned().collect::<Vec<_>>()))
+            .collect()
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<UpstreamLink> {
+        self.planned_link(address, UNPLANNED)
+    }
+
+    fn planned_link(&self, address: SocketAddr, plan: LinkPlan) -> Arc<UpstreamLink> {
         let mut hasher = DefaultHasher::new();
         address.hash(&mut hasher);
-        let index = hasher.finish() as usize % self.shards.len();
-        let mut idle = self.shards[index]
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        act(&mut idle)
+        let shard = &self.shards[hasher.finish() as usize % self.shards.len()];
+        shard.with(|links| {
+            let link = links.entry(address).or_insert_with(|| {
+                UpstreamLink::new(address, plan, self.clock, self.connect_timeout)
+            });
+            Arc::clone(link)
+        })
     }
 }
--- /dev/null
+++ b/crates/anvilhubd/src/routes/mod.rs
@@ -0,0 +1,17 @@
+//! State of the routes that the sheet in force gives: services, shards and upstreams.
+
+mod route_cell;
+mod route_store;
+mod route_table;
+mod service_route;
+mod shard_queue;
+mod shard_route;
+mod upstream_route;
+
+pub(crate) use route_cell::RouteCell;
+pub(crate) use route_store::RouteStore;
+pub(crate) use route_table::RouteTable;
+pub(crate) use service_route::ServiceRoute;
+pub(crate) use shard_queue::{ShardQueue, SlotGuard, SlotRefusal};
+pub(crate) use shard_route::ShardRoute;
+pub(crate) use upstream_route::UpstreamRoute;
--- /dev/null
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -0,0 +1,61 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use anvilhub_coord::ids::{ServiceName, SheetDigest, SheetVersion, UpstreamId};
+use anvilhub_coord::routing::LeavingSignal;
+use anvilhub_coord::sheet::CheckedSheet;
+
+use crate::clock::DaemonClock;
+
+use super::{ServiceRoute, UpstreamRoute};
+
+/// The routes of one sheet.
+pub(crate) struct RouteTable {
+    pub(crate) version: SheetVersion,
+    pub(crate) digest: SheetDigest,
+    pub(crate) services: BTreeMap<ServiceName, Arc<ServiceRoute>>,
+}
+
+impl RouteTable {
+    /// The routes of `sheet`; services, shards and upstreams that stay keep the state of `previous`.
+    pub(crate) fn new(sheet: &CheckedSheet, previous: Option<&Self>, clock: DaemonClock) -> Self {
+        let services = sheet
+            .services
+            .values()
+            .map(|spec| {
+                let known = previous.and_then(|table| table.services.get(&spec.name));
+                let service = ServiceRoute::new(spec, known.map(Arc::as_ref), clock);
+                (spec.name.clone(), Arc::new(service))
+            })
+            .collect();
+        Self {
+            version: sheet.version,
+            digest: sheet.digest,
+            services,
+        }
+    }
+
+    #[allow(dead_code, reason = "called by the members controller")]
+    pub(crate) fn upstreams(&self) -> impl Iterator<Item = &Arc<UpstreamRoute>> {
+        self.services
+            .values()
+            .flat_map(|service| service.upstreams())
+    }
+
+    /// Marks an upstream as leaving, such as by the instance list or a peer.
+    #[allow(dead_code, reason = "called by the members controller")]
+    pub(crate) fn mark_leaving(&self, id: &UpstreamId, signal: LeavingSignal) {
+        let upstreams = self.upstreams();
+        for upstream in upstreams.filter(|upstream| upstream.spec.id == *id) {
+            upstream.mark_leaving(signal);
+        }
+    }
+
+    /// Upstreams that are leaving, with the first signal of each.
+    #[allow(dead_code, reason = "called by the members controller")]
+    pub(crate) fn leaving(&self) -> Vec<(UpstreamId, LeavingSignal)> {
+        self.upstreams()
+            .filter_map(|upstream| Some((upstream.spec.id.clone(), upstream.leaving()?)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/routes/shard_route.rs
@@ -0,0 +1,108 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anvilhub_coord::gather::{ReplicaHolding, ShardHolding};
+use anvilhub_coord::ids::{ShardName, SlotCount};
+use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::routing::LatencyWindow;
+use anvilhub_coord::sheet::ShardSpec;
+use anvilhub_coord::time::ClockTime;
+
+use crate::clock::DaemonClock;
+
+use super::{RouteCell, ShardQueue, UpstreamRoute};
+
+/// One shard of a service, with state that outlives a change of the sheet.
+pub(crate) struct ShardRoute {
+    pub(crate) name: ShardName,
+    pub(crate) range: KeyRange,
+    pub(crate) replicas: Vec<Arc<UpstreamRoute>>,
+    pub(crate) queue: Arc<ShardQueue>,
+    /// Latencies of first attempts.
+    pub(crate) latencies: Arc<RouteCell<LatencyWindow>>,
+    /// Delay of a hedge in microseconds, zero for none. Computed from time to time, since a quantile costs
+    /// more than a sub-request should pay.
+    hedge_delay: Arc<AtomicU64>,
+}
+
+impl ShardRoute {
+    pub(crate) fn new(spec: &ShardSpec, previous: Option<&Self>, clock: DaemonClock) -> Self {
+        let known = |id| {
+            let mut replicas = previous.iter().flat_map(|shard| &shard.replicas);
+            replicas.find(|replica| replica.spec.id == id).cloned()
+        };
+        let replicas = spec
+            .replicas
+            .iter()
+            .map(|replica| {
+                let previous = known(replica.id.clone());
+                Arc::new(UpstreamRoute::new(replica, previous.as_deref()))
+            })
+            .collect();
+        Self {
+            name: spec.name.clone(),
+            range: spec.range,
+            replicas,
+            queue: previous.map_or_else(
+                || ShardQueue::new(spec.slots(), clock),
+                |shard| Arc::clone(&shard.queue),
+            ),
+            latencies: previous.map_or_else(Arc::default, |shard| Arc::clone(&shard.latencies)),
+            hedge_delay: previous.map_or_else(Arc::default, |shard| Arc::clone(&shard.hedge_delay)),
+        }
+    }
+
+    /// The replicas that a snapshot choice may count on. When every one that stays is ejected, all count.
+    pub(crate) fn holding(&self, now: ClockTime) -> ShardHolding {
+        let loads: Vec<_> = self
+            .replicas
+            .iter()
+            .map(|replica| (replica, replica.load(now)))
+            .filter(|(_, load)| !load.leaving)
+            .collect();
+        let healthy = loads.iter().any(|(_, load)| !load.ejected);
+        let replicas = loads
+            .iter()
+            .filter(|(_, load)| !healthy || !load.ejected)
+            .map(|(replica, _)| ReplicaHolding {
+                upstream: replica.spec.id.clone(),
+                held: replica.held(),
+            })
+            .collect();
+        ShardHolding {
+            range: self.range,
+            replicas,
+        }
+    }
+
+    /// Slots of the replicas that take requests; those of all that stay when every one is ejected.
+    pub(crate) fn usable_slots(&self, now: ClockTime) -> SlotCount {
+        let loads: Vec<_> = self
+            .replicas
+            .iter()
+            .map(|replica| (replica.spec.slots.get(), replica.load(now)))
+            .filter(|(_, load)| !load.leaving)
+            .collect();
+        let sum = |keep: &dyn Fn(bool) -> bool| {
+            let kept = loads.iter().filter(|(_, load)| keep(load.ejected));
+            kept.map(|(slots, _)| slots).sum::<u32>()
+        };
+        match sum(&|ejected| !ejected) {
+            0 => SlotCount(sum(&|_| true).max(1)),
+            slots => SlotCount(slots),
+        }
+    }
+
+    pub(crate) fn hedge_delay(&self) -> Option<Duration> {
+        match self.hedge_delay.load(Ordering::Relaxed) {
+            0 => None,
+            micros => Some(Duration::from_micros(micros)),
+        }
+    }
+
+    pub(crate) fn set_hedge_delay(&self, delay: Option<Duration>) {
+        let micros = delay.map_or(0, |delay| delay.as_micros() as u64);
+        self.hedge_delay.store(micros, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -0,0 +1,135 @@
+use std::sync::Arc;
+
+use anvilhub_coord::border::upstream::{
+    LoadReport as LoadDocument, RefusalReason, SubAnswer, SubRefusal,
+};
+use anvilhub_coord::ids::SnapshotId;
+use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::routing::{LeavingSignal, LoadReport, UpstreamLoad, UpstreamView};
+use anvilhub_coord::sheet::ReplicaSpec;
+use anvilhub_coord::time::ClockTime;
+
+use super::RouteCell;
+
+/// What this instance knows about an upstream.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamState {
+    pub(crate) view: UpstreamView,
+    /// Snapshots of its latest statement.
+    pub(crate) held: Option<Vec<SnapshotId>>,
+    /// Keys of its latest load report.
+    pub(crate) range: Option<KeyRange>,
+    /// When its load was last asked for.
+    pub(crate) polled: Option<ClockTime>,
+    /// Whether its process was seen to be gone after it was leaving.
+    pub(crate) gone: bool,
+}
+
+impl UpstreamState {
+    fn may_hold(&self, snapshot: Option<SnapshotId>) -> bool {
+        match (snapshot, &self.held) {
+            (Some(snapshot), Some(held)) => held.contains(&snapshot),
+            _ => true,
+        }
+    }
+}
+
+/// One upstream of a shard, with state that outlives a change of the sheet.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamRoute {
+    pub(crate) spec: ReplicaSpec,
+    pub(crate) state: Arc<RouteCell<UpstreamState>>,
+}
+
+impl UpstreamRoute {
+    /// Takes over the state of `previous` when it has the same address: another one is another process.
+    pub(crate) fn new(spec: &ReplicaSpec, previous: Option<&Self>) -> Self {
+        let state = previous
+            .filter(|previous| previous.spec.address == spec.address)
+            .map_or_else(Arc::default, |previous| Arc::clone(&previous.state));
+        Self {
+            spec: spec.clone(),
+            state,
+        }
+    }
+
+    pub(crate) fn load(&self, now: ClockTime) -> UpstreamLoad {
+        self.state.with(|state| state.view.load(now))
+    }
+
+    pub(crate) fn held(&self) -> Option<Vec<SnapshotId>> {
+        self.state.with(|state| state.held.clone())
+    }
+
+    /// Says whether the upstream holds `snapshot` as far as is known.
+    pub(crate) fn may_hold(&self, snapshot: Option<SnapshotId>) -> bool {
+        self.state.with(|state| state.may_hold(snapshot))
+    }
+
+    pub(crate) fn reported_range(&self) -> Option<KeyRange> {
+        self.state.with(|state| state.range)
+    }
+
+    #[allow(dead_code, reason = "called by the members controller")]
+    pub(crate) fn mark_leaving(&self, signal: LeavingSignal) {
+        self.state.with(|state| state.view.mark_leaving(signal));
+    }
+
+    pub(crate) fn leaving(&self) -> Option<LeavingSignal> {
+        self.state.with(|state| state.view.leaving())
+    }
+
+    /// Takes in an answer that arrived `since` after sending.
+    pub(crate) fn answered(&self, now: ClockTime, sent: ClockTime, answer: &SubAnswer) {
+        let load = LoadReport {
+            in_flight: answer.in_flight.unwrap_or_default(),
+            draining: answer.draining,
+            ..LoadReport::default()
+        };
+        self.state.with(|state| {
+            state.view.answered(now, now.since(sent), load);
+            state.held = Some(answer.held.clone());
+        });
+    }
+
+    /// Takes in a refusal. A cold upstream refuses everything for a while, so it is ejected at once: refusals
+    /// would use up the retry budget otherwise.
+    pub(crate) fn refused(&self, now: ClockTime, refusal: &SubRefusal) {
+        let draining = refusal.draining || refusal.reason == RefusalReason::Draining;
+        let load = LoadReport {
+            draining,
+            ..LoadReport::default()
+        };
+        self.state.with(|state| {
+            state.view.refused(now, load);
+            state.held = Some(refusal.held.clone());
+            if refusal.reason == RefusalReason::Cold && !state.view.is_ejected(now) {
+                state.view.eject(now);
+            }
+        });
+    }
+
+    /// Takes in a load report. After the process was gone, a report means that another one took its place.
+    pub(crate) fn reported(&self, now: ClockTime, report: &LoadDocument) {
+        let load = LoadReport {
+            in_flight: report.in_flight.saturating_add(report.queued),
+            draining: report.draining,
+            ..LoadReport::default()
+        };
+        self.state.with(|state| {
+            if state.gone && !report.draining {
+                state.view.replaced();
+                state.gone = false;
+            }
+            state.view.reported(now, load);
+            state.held = Some(report.held.clone());
+            state.range = Some(KeyRange::new(report.start, report.end));
+        });
+    }
+
+    /// Notes that nothing listens at its address.
+    pub(crate) fn absent(&self) {
+        self.state
+            .with(|state| state.gone |= state.view.leaving().is_some());
+    }
+}
