--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -5,8 +5,8 @@
 
 use anvilhub_coord::border::platform::InstanceList;
 use anvilhub_coord::configuration::{ExchangeMessage, PeerIdentity, PeerStage, SheetInput};
-use anvilhub_coord::ids::{Incarnation, InstanceId};
-use anvilhub_coord::membership::{MemberTable, ShardOwner};
+use anvilhub_coord::ids::{Incarnation, InstanceId, ServiceName, ShardName};
+use anvilhub_coord::membership::MemberTable;
 use anvilhub_coord::sheet::{CheckedSheet, ReplicaSpec, ShardSpec};
 use anvilhub_coord::ticket::{TicketIdentity, TicketLimits, TicketTable};
 use anvilhub_coord::time::{ClockTime, PauseDetector};
@@ -18,10 +18,17 @@
 use crate::DaemonSettings;
 use crate::clock::DaemonClock;
 use crate::controllers::ConfigState;
+use crate::fanout::{OwnerTable, SubRequestIds};
 use crate::lifecycle::{LifecycleStage, StageCell};
+use crate::live_fleet::LiveFleet;
 use crate::peer::PeerClients;
 use crate::pool::UpstreamPool;
+use crate::routes::{RouteStore, RouteTable};
 use crate::tickets::{TicketService, random_number};
+use tokio::sync::Semaphore;
+
+/// Cancellations on their way to upstreams at once; more are left out.
+const MOST_CANCELS: usize = 64;
 
 /// State that the request path, the controllers and the operator endpoints share.
 pub(crate) struct EntryContext {
@@ -32,18 +39,21 @@
     pub(crate) instances: ArcSwapOption<InstanceList>,
     pub(crate) configuration: Arc<ConfigState>,
     pub(crate) pause: PauseDetector,
-    /// Live instances, and the owners of shards among them.
-    pub(crate) owners: ArcSwap<(Vec<InstanceId>, ShardOwner)>,
+    pub(crate) fleet: ArcSwap<LiveFleet>,
     pub(crate) pool: UpstreamPool,
     pub(crate) peers: PeerClients,
     pub(crate) tickets: Arc<TicketService>,
     members: Mutex<MemberTable>,
+    pub(crate) route_store: RouteStore,
+    pub(crate) owners: OwnerTable,
+    pub(crate) sub_ids: SubRequestIds,
+    pub(crate) cancels: Semaphore,
     requests: AtomicUsize,
 }
 
 impl EntryContext {
     pub(crate) fn new(settings: DaemonSettings, clock: DaemonClock, stage: StageCell) -> Arc<Self> {
-        let pool = UpstreamPool::new(&settings);
+        let pool = UpstreamPool::new(&settings, clock);
         let peers = PeerClients::new(settings.connect_timeout);
         let incarnation = Incarnation(random_number());
         let tickets = Arc::new(TicketService::new(ticket_table(&settings, incarnation)));
@@ -57,6 +67,7 @@
         let configuration = ConfigState::new(identity, settings.isolated_start_after, now);
         let members = MemberTable::new(settings.instance.clone(), settings.peers.clone());
         let pause = PauseDetector::new(settings.pause_limit, now);
+        let sub_ids = SubRequestIds::new(&settings.instance, incarnation.get());
         Arc::new(Self {
             settings,
             clock,
@@ -65,15 +76,45 @@
             instances: ArcSwapOption::empty(),
             configuration: Arc::new(configuration),
             pause,
-            owners: ArcSwap::default(),
+            fleet: ArcSwap::default(),
             members: Mutex::new(members),
             pool,
             peers,
             tickets,
+            route_store: RouteStore::new(clock),
+            owners: OwnerTable::default(),
+            sub_ids,
+            cancels: Semaphore::new(MOST_CANCELS),
             requests: AtomicUsize::new(0),
         })
     }
 
+    /// The routes of the sheet in force, `None` until there is one.
+    pub(crate) fn routes(&self) -> Option<Arc<RouteTable>> {
+        let sheet = self.sheet.load_full()?;
+        Some(self.route_store.for_sheet(&sheet))
+    }
+
+    /// Peer address of the instance that queues for a shard, `None` when it is this one.
+    pub(crate) fn owner_of(&self, service: &ServiceName, shard: &ShardName) -> Option<SocketAddr> {
+        let fleet = self.fleet.load();
+        let owner = fleet.owner(service, shard)?;
+        match *owner == self.settings.instance {
+            true => None,
+            false => self.peer_address_of(owner),
+        }
+    }
+
+    /// Live instances among which connections and slots are divided, this one included.
+    pub(crate) fn live_entries(&self) -> u32 {
+        self.fleet.load().len()
+    }
+
+    /// Place of this instance in the sorted list of live instances, from zero.
+    pub(crate) fn entry_rank(&self) -> u32 {
+        self.fleet.load().rank(&self.settings.instance)
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.requests.fetch_add(1, Ordering::AcqRel);
@@ -124,6 +165,7 @@
         warn!(pause_ms = pause.as_millis() as u64; "the process was paused; confirming its state again");
         counter!("anvilhub_pauses_total").increment(1);
         self.configuration.set_ready(false);
+        self.pool.doubt_all();
         self.configuration.observe(SheetInput::Resumed);
     }
 
--- a/crates/anvilhubd/src/controllers/config_controller.rs
+++ b/crates/anvilhubd/src/controllers/config_controller.rs
@@ -4,7 +4,7 @@
 
 use anvilhub_coord::configuration::{SheetAction, SheetInput};
 use anvilhub_coord::ids::InstanceId;
-use anvilhub_coord::membership::{GossipPlan, ShardOwner};
+use anvilhub_coord::membership::GossipPlan;
 use anvilhub_coord::sheet::AcceptedSheet;
 use crossbeam::channel::{Sender, select, tick};
 use eyre::{Result, WrapErr};
@@ -12,6 +12,7 @@
 use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
+use crate::live_fleet::LiveFleet;
 
 use super::PeerExchange;
 
@@ -142,14 +143,12 @@
         if !self.context.is_draining() || live.is_empty() {
             live.push(own);
         }
-        live.sort();
-        let known = self.context.owners.load();
-        if known.0 == live {
+        let fleet = LiveFleet::new(live);
+        if self.context.fleet.load().is_same(&fleet) {
             return;
         }
-        gauge!("anvilhub_live_instances").set(live.len() as f64);
-        info!(instances = live.len(); "owners of shards recomputed");
-        let owners = ShardOwner::new(live.iter().cloned());
-        self.context.owners.store(Arc::new((live, owners)));
+        gauge!("anvilhub_live_instances").set(f64::from(fleet.len()));
+        info!(instances = fleet.len(); "owners of shards recomputed");
+        self.context.fleet.store(Arc::new(fleet));
     }
 }
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::context::EntryContext;
+use crate::fanout::{explain, upstream_states};
 use crate::lifecycle::LifecycleStage;
 
 /// Most operator connections at once.
@@ -56,6 +57,7 @@
             (&Method::GET, "/ready") => self.ready(),
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
             (&Method::GET, "/state") => self.state(),
+            (&Method::GET, "/explain") => self.explain(request.uri().query().unwrap_or_default()),
             (&Method::POST, "/drain") => self.start_drain(),
             (_, path) => text(
                 StatusCode::NOT_FOUND,
@@ -90,11 +92,33 @@
             requests_in_flight: self.context.requests_in_flight() as u64,
             tickets: self.context.tickets.drain_report(now).owned() as u64,
             peers: self.peers(now),
-            upstreams: Vec::new(),
+            upstreams: upstream_states(&self.context),
             alarms: self.context.configuration.alarms(),
         })
     }
 
+    fn explain(&self, parameters: &str) -> Response<Body> {
+        let value = |name: &str| {
+            let mut pairs = parameters
+                .split('&')
+                .filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let service = value("service").and_then(|service| service.parse().ok());
+        let key = value("key").map(str::parse);
+        let (Some(service), Ok(key)) = (service, key.transpose()) else {
+            let usage = "use /explain?service=NAME, with &key=N for a single key\n";
+            return text(StatusCode::BAD_REQUEST, usage.to_owned());
+        };
+        match explain(&self.context, &service, key) {
+            Some(report) => json(&report),
+            None => text(
+                StatusCode::NOT_FOUND,
+                format!("service `{service}` is not in the sheet in force\n"),
+            ),
+        }
+    }
+
     fn peers(&self, now: ClockTime) -> Vec<PeerState> {
         let members = self.context.members();
         let state = |peer: &InstanceId| PeerState {
--- a/crates/anvilhubd/src/peer/peer_server.rs
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -71,7 +71,7 @@
             .handler
             .answer(message.query, RequestOrigin::Peer)
             .await
-            .1)
+            .answer)
     }
 
     async fn issue_ticket(&self, message: IssueMessage) -> Result<TicketEntry, ErrorObjectOwned> {
