--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -4,10 +4,12 @@
 
 pub mod admission;
 pub mod border;
+pub mod configuration;
 pub mod connection;
 pub mod gather;
 pub mod ids;
 pub mod keyspace;
+pub mod membership;
 pub mod mutation;
 pub mod routing;
 pub mod sheet;
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -2,19 +2,25 @@
 
 use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome, QueryRequest};
 use anvilhub_coord::ids::{ByteSize, RequestId};
+use anvilhub_coord::ticket::RequestOrigin;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
-use log::{info, warn};
+use log::info;
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
-use crate::fanout::FanoutRunner;
+use crate::fanout::{FanoutRunner, run_batch};
 use crate::filters::{
     CallerFilter, DeadlineFilter, EntryRequest, FilterChain, RequestError, Result, ServiceFilter,
 };
 use crate::lifecycle::LifecycleStage;
+use crate::peer::{BatchAnswer, BatchMessage};
+
+/// Seconds after which a refused request may be sent again. Queues turn over within less than a second, and
+/// this is the least that the header can say.
+const RETRY_AFTER: u64 = 1;
 
 /// Answers callers' HTTP requests.
 pub(crate) struct QueryHandler {
@@ -43,10 +49,11 @@
     /// Answers one request; errors become answers.
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let _guard = self.context.begin_request();
-        let mut response = match self.read_query(request).await {
-            Ok(query) => self.answer_query(query).await,
+        let (status, answer) = match self.read_query(request).await {
+            Ok(query) => self.answer(query, RequestOrigin::Caller).await,
             Err(error) => refuse(&error, no_request_id()),
         };
+        let mut response = respond(status, &answer);
         if self.context.stage.get() == LifecycleStage::Draining {
             response.headers_mut().insert(
                 header::CONNECTION,
@@ -77,18 +84,28 @@
         })
     }
 
-    async fn answer_query(&self, query: QueryRequest) -> Response<Full<Bytes>> {
+    /// Answers a parsed request of a caller or of another instance.
+    pub(crate) async fn answer(
+        &self,
+        query: QueryRequest,
+        origin: RequestOrigin,
+    ) -> (StatusCode, QueryAnswer) {
         let request_id = query.request_id.clone();
-        match self.run_query(query).await {
+        match self.run_query(query, origin).await {
             Ok(answer) => {
                 log_answer(&answer);
-                respond(status_of(&answer), &answer)
+                (status_of(&answer), answer)
             }
             Err(error) => refuse(&error, request_id),
         }
     }
 
-    async fn run_query(&self, query: QueryRequest) -> Result<QueryAnswer> {
+    /// Runs sub-requests of another instance's request.
+    pub(crate) async fn run_batch(&self, batch: BatchMessage) -> BatchAnswer {
+        run_batch(&self.context, batch).await
+    }
+
+    async fn run_query(&self, query: QueryRequest, origin: RequestOrigin) -> Result<QueryAnswer> {
         let sheet = self
             .context
             .sheet
@@ -96,7 +113,15 @@
             .ok_or(RequestError::NotReady)?;
         let mut request = EntryRequest::new(query, sheet, self.context.clock.now());
         self.chain.apply(&mut request)?;
-        self.runner.run(&request).await
+        match request.is_idempotent(request.service()?) {
+            true => self.runner.run(&request).await,
+            false => {
+                self.context
+                    .tickets
+                    .answer(&self.context, request, origin)
+                    .await
+            }
+        }
     }
 }
 
@@ -121,15 +146,9 @@
     info!(request_id:% = answer.request_id, outcome:% = answer.outcome, coverage; "request answered");
 }
 
-fn refuse(error: &RequestError, request_id: RequestId) -> Response<Full<Bytes>> {
-    warn!(request_id:% = request_id, code = error.code(); "request refused: {error}");
-    let mut response = respond(error.status(), &error.answer(request_id));
-    if let Some(seconds) = error.retry_after() {
-        response
-            .headers_mut()
-            .insert(header::RETRY_AFTER, seconds.into());
-    }
-    response
+fn refuse(error: &RequestError, request_id: RequestId) -> (StatusCode, QueryAnswer) {
+    info!(request_id:% = request_id, code = error.code(); "request refused: {error}");
+    (error.status(), error.answer(request_id))
 }
 
 fn status_of(answer: &QueryAnswer) -> StatusCode {
@@ -142,9 +161,12 @@
 
 fn respond(status: StatusCode, answer: &QueryAnswer) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(answer).expect("border types serialize to JSON");
-    Response::builder()
+    let mut head = Response::builder()
         .status(status)
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)))
+        .header(header::CONTENT_TYPE, "application/json");
+    if let StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE = status {
+        head = head.header(header::RETRY_AFTER, RETRY_AFTER);
+    }
+    head.body(Full::new(Bytes::from(body)))
         .expect("a constant response head is valid")
 }
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -1,12 +1,13 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+use anvilhub_coord::border::platform::{InstanceEntry, InstanceRole, InstanceState};
 use anvilhub_coord::connection::ConnectionShare;
-use anvilhub_coord::ids::SlotCount;
-use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy};
+use anvilhub_coord::ids::{PlatformRevision, SheetDigest, SlotCount};
+use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy, LeavingSignal};
 use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
 use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::tick;
@@ -41,6 +42,8 @@
     context: Arc<EntryContext>,
     runtime: Handle,
     polls: Arc<Semaphore>,
+    /// Instance list and sheet that the present division follows.
+    divided: Option<(Option<PlatformRevision>, SheetDigest)>,
 }
 
 impl UpstreamController {
@@ -49,6 +52,7 @@
             context,
             runtime,
             polls: Arc::new(Semaphore::new(MOST_POLLS)),
+            divided: None,
         }
     }
 
@@ -60,7 +64,7 @@
         Ok(())
     }
 
-    fn run(self) {
+    fn run(mut self) {
         // Connections are opened and probed by tasks of the runtime.
         let _runtime = self.runtime.enter();
         for _ in tick(ROUND_INTERVAL) {
@@ -70,8 +74,9 @@
         }
     }
 
-    fn round(&self, routes: &RouteTable) {
+    fn round(&mut self, routes: &RouteTable) {
         let now = self.context.clock.now();
+        self.divide(routes);
         let mut plans = HashMap::new();
         let mut silence = HashMap::new();
         for service in routes.services.values() {
@@ -95,6 +100,36 @@
         self.context.pool.maintain(limit);
     }
 
+    /// Follows the list of instances and the sheet: who owns each shard, and which upstreams are leaving.
+    fn divide(&mut self, routes: &RouteTable) {
+        let list = self.context.instances.load_full();
+        let state = Some((list.as_ref().map(|list| list.revision), routes.digest));
+        if self.divided == state {
+            return;
+        }
+        self.divided = state;
+        let is_leaving = |entry: &&InstanceEntry| {
+            entry.role == InstanceRole::Upstream && entry.state == InstanceState::Leaving
+        };
+        let entries = list.iter().flat_map(|list| &list.instances);
+        let leaving: HashSet<&str> = entries
+            .filter(is_leaving)
+            .map(|entry| entry.id.as_str())
+            .collect();
+        for upstream in routes.upstreams() {
+            if leaving.contains(upstream.spec.id.as_str()) {
+                upstream.mark_leaving(LeavingSignal::List);
+            }
+        }
+        let division = Arc::new(self.context.divide_entries());
+        for service in routes.services.values() {
+            for shard in &service.shards {
+                shard.set_owner(division.owner_of(&service.spec.name, &shard.name));
+            }
+        }
+        self.context.division.store(division);
+    }
+
     fn advance(&self, service: &ServiceRoute, now: ClockTime) {
         service.gate.advance();
         service.refresh_hedges();
@@ -115,9 +150,7 @@
 
     /// Says whether this instance is the one that usually sends to the shard.
     fn is_sender(&self, service: &ServiceRoute, shard: &ShardRoute) -> bool {
-        let spec = &service.spec;
-        spec.route.mode == RouteMode::Direct
-            || self.context.owner_of(&spec.name, &shard.name).is_none()
+        service.spec.route.mode == RouteMode::Direct || shard.owner().is_none()
     }
 
     /// Slots that this instance may occupy: all of a shard that it owns, its share of others.
@@ -125,7 +158,7 @@
         let owns = service.spec.route.mode == RouteMode::Owner && self.is_sender(service, shard);
         match owns {
             true => usable,
-            false => SlotCount((usable.get() / self.context.live_entries().max(1)).max(1)),
+            false => SlotCount((usable.get() / self.context.division.load().entries).max(1)),
         }
     }
 
@@ -135,8 +168,9 @@
         shard: &ShardRoute,
         upstream: &UpstreamRoute,
     ) -> LinkPlan {
-        let division = ConnectionShare::new(self.context.live_entries());
-        let (limit, rank) = (upstream.spec.connections, self.context.entry_rank());
+        let entries = self.context.division.load();
+        let division = ConnectionShare::new(entries.entries);
+        let (limit, rank) = (upstream.spec.connections, entries.rank);
         let sends = self.is_sender(service, shard);
         let share = match (service.spec.route.mode, sends) {
             (RouteMode::Direct, _) => division.direct(limit, rank),
--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use anvilhub_coord::gather::{
-    AnswerFault, AnswerGather, GatherLimits, GatheredAnswer, MissingReason, SnapshotChooser,
-    SnapshotPlan,
+    AnswerFault, AnswerGather, GatherLimits, GatheredAnswer, MissingReason, ShardPlan,
+    SnapshotChooser, SnapshotPlan,
 };
+use anvilhub_coord::ids::SnapshotId;
 use anvilhub_coord::keyspace::KeyRange;
 use anvilhub_coord::routing::AttemptOutcome;
 use anvilhub_coord::sheet::RouteMode;
@@ -113,7 +114,8 @@
                 .iter()
                 .map(|gap| gap.intersect(shard_plan.range));
             for range in parts.filter(|part| !part.is_empty()) {
-                queries.push(self.sub_query(shard, range, shard.replicas.clone()));
+                let candidates = candidates(shard, shard_plan, plan.snapshot);
+                queries.push(self.sub_query(shard, range, candidates));
             }
         }
         let snapshot = self.gather.snapshot().map(|snapshot| snapshot.to_string());
@@ -165,7 +167,7 @@
         if spec.route.mode == RouteMode::Direct || !self.body.idempotent {
             return None;
         }
-        let owner = self.context.owner_of(&spec.name, &query.shard.name)?;
+        let owner = query.shard.owner()?;
         let now = self.context.clock.now();
         (!self.context.owners.is_bypassed(owner, now)).then_some(owner)
     }
@@ -277,6 +279,23 @@
     }
 }
 
+/// The replicas of the plan, and those that it leaves out as ejected: they are the last resort of a retry.
+fn candidates(
+    shard: &ShardRoute,
+    plan: &ShardPlan,
+    snapshot: Option<SnapshotId>,
+) -> Vec<Arc<UpstreamRoute>> {
+    let is_candidate = |replica: &&Arc<UpstreamRoute>| {
+        plan.replicas.contains(&replica.spec.id) || replica.may_hold(snapshot)
+    };
+    shard
+        .replicas
+        .iter()
+        .filter(is_candidate)
+        .cloned()
+        .collect()
+}
+
 fn reported_ranges(shard: &ShardRoute) -> Vec<KeyRange> {
     let replicas = shard.replicas.iter();
     replicas
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -16,6 +16,7 @@
 mod routes;
 mod settings;
 mod settings_error;
+mod tickets;
 
 pub use daemon::run;
 pub use settings::DaemonSettings;
--- /dev/null
+++ b/crates/anvilhubd/src/pool/answer_body.rs
@@ -0,0 +1,66 @@
+use std::net::SocketAddr;
+
+use anvilhub_coord::border::upstream::{SubAnswer, SubRefusal, SubRequest};
+use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::mutation;
+use hyper::StatusCode;
+use serde::de::DeserializeOwned;
+
+use super::{PoolError, Result};
+
+/// Reads the answer to a sub-request.
+///
+/// # Errors
+///
+/// Fails when the upstream refused the sub-request, or the answer is malformed, belongs to another sub-request,
+/// or claims keys that were not asked for.
+pub(super) fn read_answer(
+    address: SocketAddr,
+    request: &SubRequest,
+    status: StatusCode,
+    body: &[u8],
+) -> Result<SubAnswer> {
+    match status {
+        StatusCode::OK => parse_answer(address, request, body),
+        StatusCode::SERVICE_UNAVAILABLE => Err(parse_refusal(address, request, body)),
+        other => Err(bad_answer(address, format!("HTTP status {other}"))),
+    }
+}
+
+fn parse_answer(address: SocketAddr, request: &SubRequest, body: &[u8]) -> Result<SubAnswer> {
+    let answer: SubAnswer = parse(address, body)?;
+    let is_other = answer.request_id != request.request_id;
+    if is_other && !mutation::is_active("crossed_answer_accepted") {
+        let reason = format!("it answers request {}", answer.request_id);
+        return Err(bad_answer(address, reason));
+    }
+    let asked = KeyRange::new(request.start, request.end);
+    let found = KeyRange::new(answer.start, answer.end);
+    let is_within = found.start <= found.end && asked.covers(found);
+    match is_within || mutation::is_active("any_range_counts") {
+        true => Ok(answer),
+        false => Err(bad_answer(
+            address,
+            format!("it claims {found} of the asked {asked}"),
+        )),
+    }
+}
+
+fn parse_refusal(address: SocketAddr, request: &SubRequest, body: &[u8]) -> PoolError {
+    match parse::<SubRefusal>(address, body) {
+        Ok(refusal) if refusal.request_id == request.request_id => PoolError::Refused { refusal },
+        Ok(refusal) => bad_answer(
+            address,
+            format!("it refuses request {}", refusal.request_id),
+        ),
+        Err(error) => error,
+    }
+}
+
+pub(super) fn parse<T: DeserializeOwned>(address: SocketAddr, body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| bad_answer(address, error.to_string()))
+}
+
+pub(super) fn bad_answer(address: SocketAddr, reason: String) -> PoolError {
+    PoolError::BadAnswer { address, reason }
+}
--- a/crates/anvilhubd/src/pool/upstream_link.rs
+++ b/crates/anvilhubd/src/pool/upstream_link.rs
@@ -140,6 +140,11 @@
         self.state.with(|state| state.ledger.held() == 0)
     }
 
+    /// Says whether a request would have to wait for a connection.
+    pub(crate) fn is_full(&self) -> bool {
+        self.state.with(|state| state.ledger.is_full())
+    }
+
     /// Makes idle connections suspect, such as after a pause of this process.
     pub(crate) fn doubt(&self) {
         self.state.with(|state| state.ledger.doubt_all());
--- a/crates/anvilhubd/src/pool/upstream_pool.rs
+++ b/crates/anvilhubd/src/pool/upstream_pool.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
 use anvilhub_coord::ids::ByteSize;
 use anvilhub_coord::sheet::RepeatPolicy;
 use tokio::time::timeout;
@@ -45,26 +44,6 @@
         self.max_answer
     }
 
-    #[allow(dead_code, reason = "called by the ticket path")]
-    /// Sends a sub-request and waits for its answer for at most `patience`.
-    pub(crate) async fn query(
-        &self,
-        address: SocketAddr,
-        request: &SubRequest,
-        patience: Duration,
-    ) -> Result<SubAnswer> {
-        let repeat = match request.idempotent {
-            true => RepeatPolicy::Idempotent,
-            false => RepeatPolicy::NonIdempotent,
-        };
-        let started = self.clock.now();
-        let lease = self.acquire(address, repeat, patience).await?;
-        let left = patience.saturating_sub(self.clock.now().since(started));
-        timeout(left, lease.query(request, self.max_answer))
-            .await
-            .unwrap_or(Err(PoolError::Timeout { address }))
-    }
-
     /// Waits for a connection for at most `patience`.
     ///
     /// # Errors
@@ -87,6 +66,12 @@
             })
     }
 
+    /// Says whether every connection of the share to an upstream carries a request.
+    pub(crate) fn is_full(&self, address: SocketAddr) -> bool {
+        self.shard(address)
+            .with(|links| links.get(&address).is_some_and(|link| link.is_full()))
+    }
+
     /// Follows the sheet and the number of instances. Connections to upstreams without a plan are closed.
     pub(crate) fn configure(&self, plans: &HashMap<SocketAddr, LinkPlan>) {
         for (&address, &plan) in plans {
@@ -132,14 +117,17 @@
     }
 
     fn planned_link(&self, address: SocketAddr, plan: LinkPlan) -> Arc<UpstreamLink> {
-        let mut hasher = DefaultHasher::new();
-        address.hash(&mut hasher);
-        let shard = &self.shards[hasher.finish() as usize % self.shards.len()];
-        shard.with(|links| {
+        self.shard(address).with(|links| {
             let link = links.entry(address).or_insert_with(|| {
                 UpstreamLink::new(address, plan, self.clock, self.connect_timeout)
             });
             Arc::clone(link)
         })
     }
+
+    fn shard(&self, address: SocketAddr) -> &RouteCell<LinkMap> {
+        let mut hasher = DefaultHasher::new();
+        address.hash(&mut hasher);
+        &self.shards[hasher.finish() as usize % self.shards.len()]
+    }
 }
--- a/crates/anvilhubd/src/routes/route_table.rs
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -35,7 +35,6 @@
         }
     }
 
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn upstreams(&self) -> impl Iterator<Item = &Arc<UpstreamRoute>> {
         self.services
             .values()
--- a/crates/anvilhubd/src/routes/service_route.rs
+++ b/crates/anvilhubd/src/routes/service_route.rs
@@ -59,7 +59,6 @@
             .filter(move |shard| !shard.range.intersect(range).is_empty())
     }
 
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn upstreams(&self) -> impl Iterator<Item = &Arc<UpstreamRoute>> {
         self.shards.iter().flat_map(|shard| &shard.replicas)
     }
