Test the request path against fake upstreams

Cause: the new request path had no test.

Change: a daemon in a process of its own runs between a fake platform and fake upstreams that the tests write.

Ruled out: a unit test for each type; the decisions have theirs in anvilhub-coord, and what can break here is the I/O around them.

--- a/crates/anvilhubd/tests/lib.rs
+++ b/crates/anvilhubd/tests/lib.rs
@@ -1,3 +1,10 @@
 //! Tests of the daemon, one file a feature.
 
+mod admission_refusals;
+mod fixture;
+mod hedged_requests;
+mod leaving_upstreams;
+mod partial_answers;
 mod settings_check;
+mod silent_connections;
+mod snapshot_choice;
