--- a/crates/anvilhub-cli/src/explain.rs
+++ b/crates/anvilhub-cli/src/explain.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use anvilhub_coord::border::operator::{ExplainReplica, ExplainReport, ExplainShard};
+use anvilhub_coord::border::operator::{ExplainReport, ExplainShard};
 use anvilhub_coord::ids::ServiceName;
 use lexopt::prelude::*;
 
@@ -61,16 +61,13 @@
         .snapshot
         .map_or("unknown".to_owned(), |snapshot| snapshot.to_string());
     let head = format!(
-        "{} at {}, sheet version {}, snapshot {snapshot}: {} of {} run, {} wait\n",
-        report.service,
-        report.instance,
-        report.sheet_version,
-        report.running,
-        report.limit,
-        report.waiting
+        "{}, keys {}..{}, snapshot {snapshot}\n",
+        report.service, report.start, report.end
     );
-    let shards = report.shards.iter();
-    shards.fold(head, |text, shard| text + &shard_text(shard))
+    report
+        .shards
+        .iter()
+        .fold(head, |text, shard| text + &shard_text(shard))
 }
 
 fn shard_text(shard: &ExplainShard) -> String {
@@ -78,27 +75,18 @@
         .chosen
         .as_ref()
         .map_or("no replica", |chosen| chosen.as_str());
-    let owner = match (&shard.owner, shard.owner_bypassed) {
-        (None, _) => "queued here".to_owned(),
-        (Some(owner), false) => format!("queued by {owner}"),
-        (Some(owner), true) => format!("sent directly, since the owner {owner} does not answer"),
-    };
-    let head = format!(
-        "{} {}..{}: {chosen} ({}), {owner}\n",
-        shard.shard, shard.start, shard.end, shard.reason
+    let mut text = format!(
+        "{} {}..{}: {chosen} ({}), owner {}\n",
+        shard.shard, shard.start, shard.end, shard.reason, shard.owner
     );
-    let replicas = shard.replicas.iter();
-    replicas.fold(head, |text, replica| text + &replica_text(replica))
-}
-
-fn replica_text(replica: &ExplainReplica) -> String {
-    let state = match (&replica.leaving, replica.ejected) {
-        (Some(signal), _) => format!("leaving, by {signal}"),
-        (None, true) => "ejected".to_owned(),
-        (None, false) => "usable".to_owned(),
-    };
-    format!(
-        "  {} {}: {state}, {} in flight, {} us expected\n",
-        replica.upstream, replica.address, replica.in_flight, replica.expected_us
-    )
+    for replica in &shard.replicas {
+        let latency = replica
+            .latency_us
+            .map_or("no latency yet".to_owned(), |micros| format!("{micros} us"));
+        text += &format!(
+            "  {}: {}, {} in flight, {latency}\n",
+            replica.id, replica.status, replica.in_flight
+        );
+    }
+    text
 }
--- a/crates/anvilhubd/src/fanout/mod.rs
+++ b/crates/anvilhubd/src/fanout/mod.rs
@@ -1,14 +1,13 @@
 //! Sub-requests of one request: sending, gathering, answering.
 
 mod batch_call;
-#[allow(dead_code, reason = "called by the peer server")]
 mod batch_run;
 mod fanout_runner;
 mod hop_cost;
 mod owner_table;
 mod piece_end;
 mod request_run;
-mod route_explanation;
+mod route_report;
 mod sub_attempt;
 mod sub_query;
 mod sub_request_ids;
@@ -17,7 +16,7 @@
 pub(crate) use batch_run::run_batch;
 pub(crate) use fanout_runner::FanoutRunner;
 pub(crate) use owner_table::OwnerTable;
-pub(crate) use route_explanation::{explain, upstream_states};
+pub(crate) use route_report::{explain_route, upstream_states};
 pub(crate) use sub_request_ids::SubRequestIds;
 
 use batch_call::BatchCall;
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -16,7 +16,7 @@
 
 use crate::context::EntryContext;
 use crate::pool::PoolError;
-use crate::routes::{SlotGuard, SlotRefusal};
+use crate::routes::{SlotGuard, SlotRefusal, UpstreamRoute};
 
 use super::{AttemptEnd, SubAttempt, SubQuery};
 
@@ -189,29 +189,29 @@
     fn choose(&self, further: Option<AttemptKind>) -> Result<ReplicaChoice, MissingReason> {
         let now = self.context.clock.now();
         let domain = &self.context.settings.failure_domain;
-        let mut unavailable = false;
-        let candidates: Vec<_> = self
-            .query
-            .candidates
-            .iter()
-            .zip(&self.tried)
-            .map(|(upstream, &tried)| {
-                let holds = upstream.may_hold(self.query.snapshot);
-                unavailable |= !holds;
-                ReplicaCandidate {
-                    load: upstream.load(now),
-                    same_domain: upstream.spec.failure_domain == *domain,
-                    tried: tried || !holds,
-                    full: self.context.pool.is_full(upstream.spec.address),
-                }
+        let upstreams = || self.query.candidates.iter().zip(&self.tried);
+        let holds = |upstream: &UpstreamRoute| upstream.may_hold(self.query.snapshot);
+        // What an upstream holds may have changed since the snapshot was chosen. One that lacks it now is
+        // asked only when no other is left: the statement may be outdated.
+        let is_held = upstreams().any(|(upstream, &tried)| !tried && holds(upstream));
+        let mut candidates: Vec<_> = upstreams()
+            .map(|(upstream, &tried)| ReplicaCandidate {
+                load: upstream.load(now),
+                same_domain: upstream.spec.failure_domain == *domain,
+                tried: tried || (is_held && !holds(upstream)),
+                full: self.context.pool.is_full(upstream.spec.address),
             })
             .collect();
-        let choice = ReplicaPicker::default().pick(&candidates, further, &mut rand::rng());
-        choice.map_err(|error| match (error, self.states.is_empty()) {
-            (PickError::AllTried, true) if unavailable => MissingReason::SnapshotUnavailable,
-            (_, true) => MissingReason::NoReplica,
-            (_, false) => self.reason,
-        })
+        let picker = ReplicaPicker::default();
+        let mut choice = picker.pick(&candidates, further, &mut rand::rng());
+        if choice == Err(PickError::AllFull) && further != Some(AttemptKind::Hedge) {
+            // The attempt waits for a connection then.
+            candidates
+                .iter_mut()
+                .for_each(|candidate| candidate.full = false);
+            choice = picker.pick(&candidates, further, &mut rand::rng());
+        }
+        choice.map_err(|_| self.reason)
     }
 
     fn send(&mut self, choice: ReplicaChoice, kind: Option<AttemptKind>, slot: Option<SlotGuard>) {
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 use crate::context::EntryContext;
-use crate::fanout::{explain, upstream_states};
+use crate::fanout::{explain_route, upstream_states};
 use crate::lifecycle::LifecycleStage;
 
 /// Most operator connections at once.
@@ -110,7 +110,7 @@
             let usage = "use /explain?service=NAME, with &key=N for a single key\n";
             return text(StatusCode::BAD_REQUEST, usage.to_owned());
         };
-        match explain(&self.context, &service, key) {
+        match explain_route(&self.context, &service, key) {
             Some(report) => json(&report),
             None => text(
                 StatusCode::NOT_FOUND,
--- a/crates/anvilhubd/src/pool/connection_lease.rs
+++ b/crates/anvilhubd/src/pool/connection_lease.rs
@@ -1,21 +1,16 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhub_coord::border::upstream::{
-    CancelRequest, LoadReport, SubAnswer, SubRefusal, SubRequest,
-};
+use anvilhub_coord::border::upstream::{CancelRequest, LoadReport, SubAnswer, SubRequest};
 use anvilhub_coord::connection::ConnectionId;
 use anvilhub_coord::ids::ByteSize;
-use anvilhub_coord::keyspace::KeyRange;
-use anvilhub_coord::mutation;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::answer_body::{bad_answer, parse, read_answer};
 use super::{PoolError, Result, UpstreamConnection, UpstreamLink};
 
 /// Largest answer of a health, load or cancel endpoint.
@@ -66,11 +61,7 @@
     ) -> Result<SubAnswer> {
         let address = self.link.address();
         let (status, body) = self.post("/query", request, limit).await?;
-        let result = match status {
-            StatusCode::OK => parse_answer(address, request, &body),
-            StatusCode::SERVICE_UNAVAILABLE => Err(parse_refusal(address, request, &body)),
-            other => Err(bad_answer(address, format!("HTTP status {other}"))),
-        };
+        let result = read_answer(address, request, status, &body);
         if matches!(result, Ok(_) | Err(PoolError::Refused { .. })) {
             self.finish();
         }
@@ -156,41 +147,3 @@
         }
     }
 }
-
-fn parse_answer(address: SocketAddr, request: &SubRequest, body: &[u8]) -> Result<SubAnswer> {
-    let answer: SubAnswer = parse(address, body)?;
-    let is_other = answer.request_id != request.request_id;
-    if is_other && !mutation::is_active("crossed_answer_accepted") {
-        let reason = format!("it answers request {}", answer.request_id);
-        return Err(bad_answer(address, reason));
-    }
-    let asked = KeyRange::new(request.start, request.end);
-    let found = KeyRange::new(answer.start, answer.end);
-    let is_within = found.start <= found.end && asked.covers(found);
-    match is_within || mutation::is_active("any_range_counts") {
-        true => Ok(answer),
-        false => Err(bad_answer(
-            address,
-            format!("it claims {found} of the asked {asked}"),
-        )),
-    }
-}
-
-fn parse_refusal(address: SocketAddr, request: &SubRequest, body: &[u8]) -> PoolError {
-    match parse::<SubRefusal>(address, body) {
-        Ok(refusal) if refusal.request_id == request.request_id => PoolError::Refused { refusal },
-        Ok(refusal) => bad_answer(
-            address,
-            format!("it refuses request {}", refusal.request_id),
-        ),
-        Err(error) => error,
-    }
-}
-
-fn parse<T: DeserializeOwned>(address: SocketAddr, body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|error| bad_answer(address, error.to_string()))
-}
-
-fn bad_answer(address: SocketAddr, reason: String) -> PoolError {
-    PoolError::BadAnswer { address, reason }
-}
--- a/crates/anvilhubd/src/pool/mod.rs
+++ b/crates/anvilhubd/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams.
 
+mod answer_body;
 mod connection_lease;
 mod link_plan;
 mod pool_error;
--- a/crates/anvilhubd/src/pool/upstream_link.rs
+++ b/crates/anvilhubd/src/pool/upstream_link.rs
@@ -135,17 +135,16 @@
         drop(closed);
     }
 
-    /// Says whether the share is used up and no connection is idle.
-    pub(crate) fn is_full(&self) -> bool {
-        self.state
-            .with(|state| state.idle.is_empty() && state.ledger.held() >= state.plan.share)
-    }
-
     /// Says whether a retired link has no connection left.
     pub(crate) fn is_empty(&self) -> bool {
         self.state.with(|state| state.ledger.held() == 0)
     }
 
+    /// Says whether a request would have to wait for a connection.
+    pub(crate) fn is_full(&self) -> bool {
+        self.state.with(|state| state.ledger.is_full())
+    }
+
     /// Makes idle connections suspect, such as after a pause of this process.
     pub(crate) fn doubt(&self) {
         self.state.with(|state| state.ledger.doubt_all());
--- a/crates/anvilhubd/src/pool/upstream_pool.rs
+++ b/crates/anvilhubd/src/pool/upstream_pool.rs
@@ -66,9 +66,10 @@
             })
     }
 
-    /// Says whether a request to the upstream would have to wait for a connection.
+    /// Says whether every connection of the share to an upstream carries a request.
     pub(crate) fn is_full(&self, address: SocketAddr) -> bool {
-        self.link(address).is_full()
+        self.shard(address)
+            .with(|links| links.get(&address).is_some_and(|link| link.is_full()))
     }
 
     /// Follows the sheet and the number of instances. Connections to upstreams without a plan are closed.
@@ -115,14 +116,17 @@
     }
 
     fn planned_link(&self, address: SocketAddr, plan: LinkPlan) -> Arc<UpstreamLink> {
-        let mut hasher = DefaultHasher::new();
-        address.hash(&mut hasher);
-        let shard = &self.shards[hasher.finish() as usize % self.shards.len()];
-        shard.with(|links| {
+        self.shard(address).with(|links| {
             let link = links.entry(address).or_insert_with(|| {
                 UpstreamLink::new(address, plan, self.clock, self.connect_timeout)
             });
             Arc::clone(link)
         })
     }
+
+    fn shard(&self, address: SocketAddr) -> &RouteCell<LinkMap> {
+        let mut hasher = DefaultHasher::new();
+        address.hash(&mut hasher);
+        &self.shards[hasher.finish() as usize % self.shards.len()]
+    }
 }
