Test the acceptance of sheets by scripts and by a search over event orders

Cause: the fault matrix covers one fault at each step; faults in combination and the wording of reactions were not covered.

Two faults that the scripts showed are corrected: a platform that is read again without a change filled the log, and the alarm about a lost sheet was raised while a peer could still supply it.

Ruled out: a state machine test with random orders (it proves less about short orders than trying all of them).

--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crate::ids::{InstanceId, UpstreamId};
+use crate::ids::{InstanceId, PlatformRevision, SheetDigest, UpstreamId};
 use crate::mutation;
 use crate::sheet::{AcceptedSheet, SheetStamp};
 use crate::time::ClockTime;
@@ -43,6 +43,8 @@
     /// Highest sheet that a peer was seen to have in force.
     highest_seen: Option<SheetStamp>,
     pub(super) platform_down: bool,
+    /// The last value of the platform; what is wrong with it is logged once.
+    pub(super) last_read: Option<(PlatformRevision, SheetDigest)>,
     pub(super) platform_stale: Option<SheetAlarm>,
     pub(super) conflict: Option<SheetStamp>,
     alarms: BTreeSet<SheetAlarm>,
@@ -66,6 +68,7 @@
             confirmed: false,
             highest_seen: None,
             platform_down: false,
+            last_read: None,
             platform_stale: None,
             conflict: None,
             alarms: BTreeSet::new(),
@@ -241,13 +244,14 @@
         self.accept_candidate(actions);
     }
 
+    /// Says whether a peer has a sheet in force that takes precedence and that can be fetched.
+    fn is_behind(&self) -> bool {
+        let best = self.peers.best_accepted();
+        best.is_some_and(|(best, _)| Some(best) > self.stamp())
+    }
+
     fn finish_learning(&mut self, now: ClockTime) {
-        let own = self.stamp();
-        let is_behind = self
-            .peers
-            .best_accepted()
-            .is_some_and(|(best, _)| Some(best) > own);
-        if is_behind || own.is_none() {
+        if self.is_behind() || self.in_force.is_none() {
             return;
         }
         if self.has_asked_peers(now) {
@@ -317,7 +321,8 @@
             if !self.peers.has_list() {
                 alarms.insert(SheetAlarm::ListUnknown);
             }
-            let lost = self.lost_sheet().map(|stamp| stamp.version);
+            let lost = self.lost_sheet().filter(|_| !self.is_behind());
+            let lost = lost.map(|stamp| stamp.version);
             alarms.extend(lost.map(SheetAlarm::SheetLost));
         }
         alarms
--- a/crates/anvilhub-coord/src/configuration/sheet_offer.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_offer.rs
@@ -23,13 +23,30 @@
         actions: &mut Vec<SheetAction>,
     ) {
         self.platform_down = false;
-        let sheet = match CheckedSheet::from_bytes(bytes) {
-            Ok(sheet) => sheet,
-            Err(faults) => {
-                actions.push(SheetAction::Refuse { revision, faults });
-                return;
-            }
+        let value = (revision, SheetDigest::of(bytes));
+        let is_repeated = self.last_read.replace(value) == Some(value);
+        let mut reactions = Vec::new();
+        match CheckedSheet::from_bytes(bytes) {
+            Ok(sheet) => self.compare_platform(asked_at, sheet, revision, &mut reactions),
+            Err(faults) => reactions.push(SheetAction::Refuse { revision, faults }),
+        }
+        let is_log = |action: &SheetAction| {
+            matches!(
+                action,
+                SheetAction::Refuse { .. } | SheetAction::IgnoreStale { .. }
+            )
         };
+        reactions.retain(|action| !is_repeated || !is_log(action));
+        actions.append(&mut reactions);
+    }
+
+    fn compare_platform(
+        &mut self,
+        asked_at: ClockTime,
+        sheet: CheckedSheet,
+        revision: PlatformRevision,
+        actions: &mut Vec<SheetAction>,
+    ) {
         let is_same = self
             .stamp()
             .is_some_and(|own| own.digest == sheet.digest && asked_at >= self.valid_from);
--- a/crates/anvilhub-coord/src/sheet/checked_sheet.rs
+++ b/crates/anvilhub-coord/src/sheet/checked_sheet.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 };
 
 /// A sheet that passed the check of the whole document.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct CheckedSheet {
     /// Version of the sheet.
     pub version: SheetVersion,
@@ -88,6 +89,17 @@
     }
 }
 
+/// Version and digest, which determine the rest.
+impl fmt::Debug for CheckedSheet {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CheckedSheet")
+            .field("version", &self.version)
+            .field("digest", &self.digest)
+            .finish_non_exhaustive()
+    }
+}
+
 fn convert_service(index: usize, entry: &ServiceEntry) -> Result<(ServiceName, ServiceSpec)> {
     let place = format!("/services/{index}");
     let mut shards = entry
--- /dev/null
+++ b/crates/anvilhub-coord/tests/acceptance_scenarios.rs
@@ -0,0 +1,108 @@
+//! Guards against wrong reactions to single faults of the configuration, told as scripts in `scenarios/`.
+//!
+//! `REWRITE=1 cargo test -p anvilhub-coord acceptance` writes the observed reactions into the scripts.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use datadriven::{TestCase, walk};
+
+use crate::fleet::{Fleet, id, sheet};
+
+#[test]
+fn scripts() {
+    walk(
+        concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"),
+        |file| {
+            let mut fleet = Fleet::default();
+            file.run(|case| {
+                let seen = fleet.log.len();
+                perform(&mut fleet, case);
+                let reactions = fleet.log[seen..].iter();
+                let text: String = reactions.map(|line| format!("{line}\n")).collect();
+                match case.directive.as_str() {
+                    "state" => state(&fleet),
+                    _ if text.is_empty() => "ok\n".to_owned(),
+                    _ => text,
+                }
+            });
+        },
+    );
+}
+
+fn perform(fleet: &mut Fleet, case: &mut TestCase) {
+    match case.directive.as_str() {
+        "fleet" => begin(fleet, case),
+        "publish" => publish(fleet, case),
+        "config-down" => fleet.platform = None,
+        "run" => fleet.run(Duration::from_millis(number(case, "ms"))),
+        "read" => fleet.read(&id(&name(case))),
+        "kill" => fleet.kill(&id(&name(case))),
+        "start" => fleet.start(&id(&name(case))),
+        "pause" => fleet.pause(&id(&name(case))),
+        "resume" => fleet.resume(&id(&name(case))),
+        "cut" => {
+            let ends: Vec<String> = case.take_args("between").unwrap();
+            fleet.cut(&id(&ends[0]), &id(&ends[1]));
+        }
+        "lose-fetches" => fleet.lost_fetches = number(case, "count"),
+        "heal" => fleet.cuts.clear(),
+        "state" => {}
+        other => panic!("unknown directive {other}"),
+    }
+    case.expect_empty().unwrap();
+}
+
+fn begin(fleet: &mut Fleet, case: &mut TestCase) {
+    let names: Vec<String> = case.take_args("names").unwrap();
+    let isolated: Option<u64> = case.try_take_arg("isolated-start-ms").unwrap();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    *fleet = Fleet::new(&[]);
+    fleet.settings.isolated_start_after = isolated.map(Duration::from_millis);
+    fleet.listed = names.iter().map(|name| id(name)).collect();
+    for name in names {
+        fleet.start(&id(name));
+    }
+}
+
+fn publish(fleet: &mut Fleet, case: &mut TestCase) {
+    let revision = number(case, "revision");
+    let version = number(case, "version");
+    let content = case.try_take_arg("content").unwrap().unwrap_or(0);
+    let services: Option<Vec<String>> = case.try_take_args("services").unwrap();
+    let services = services.unwrap_or_else(|| vec!["stock".to_owned()]);
+    let services: Vec<&str> = services.iter().map(String::as_str).collect();
+    let mut bytes = sheet(version, content, &services);
+    if case.take_flag("truncated").unwrap() {
+        bytes.truncate(bytes.len() / 2);
+    }
+    fleet.platform = Some((revision, bytes));
+}
+
+fn state(fleet: &Fleet) -> String {
+    let mut text = String::new();
+    for (instance, process) in &fleet.processes {
+        let acceptor = &process.acceptor;
+        let sheet = acceptor.in_force().map(|sheet| sheet.stamp());
+        let sheet = match sheet {
+            Some(stamp) => format!("version {} of revision {}", stamp.version, stamp.revision),
+            None => "no sheet".to_owned(),
+        };
+        text.push_str(&format!("{instance}: {sheet}, {}\n", acceptor.stage()));
+        for alarm in acceptor.alarms() {
+            text.push_str(&format!("  alarm: {alarm}\n"));
+        }
+    }
+    text
+}
+
+fn name(case: &mut TestCase) -> String {
+    case.take_arg("name").unwrap()
+}
+
+fn number<T: FromStr>(case: &mut TestCase, arg: &str) -> T
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    case.take_arg(arg).unwrap()
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/acceptor_search.rs
@@ -0,0 +1,233 @@
+//! Guards against an order of events that makes an accepted sheet revert or leaves instances apart.
+//!
+//! Searches every order of a few events up to a depth. `Fleet` checks after each event that nothing goes
+//! back; from every state that is reached, connected instances must converge.
+
+use std::collections::HashSet;
+use std::fmt::{self, Write};
+use std::hash::{DefaultHasher, Hasher};
+use std::time::Duration;
+
+use anvilhub_coord::ids::InstanceId;
+
+use crate::fleet::{Fleet, id};
+
+/// Longer than the settling time.
+const SETTLED: Duration = Duration::from_millis(600);
+
+/// Revision, version and content of what is published, in this order. Version 2 has two contents.
+const PUBLICATIONS: [(u64, u64, u64); 3] = [(11, 2, 1), (12, 2, 2), (13, 3, 0)];
+
+#[derive(Clone, Copy, Debug)]
+enum SearchEvent {
+    /// The next sheet is published and one instance reads it.
+    Publish {
+        reader: usize,
+    },
+    /// The platform goes back to version 1 and one instance reads it.
+    GoBack {
+        reader: usize,
+    },
+    Read {
+        reader: usize,
+    },
+    Exchange {
+        from: usize,
+        to: usize,
+        lose_answer: bool,
+    },
+    LoseFetch,
+    Restart {
+        instance: usize,
+    },
+    PauseAndResume {
+        instance: usize,
+    },
+    ToggleLink {
+        from: usize,
+        to: usize,
+    },
+    Wait,
+}
+
+#[derive(Clone, Debug)]
+struct SearchState {
+    fleet: Fleet,
+    published: usize,
+    restarts_left: u32,
+}
+
+impl SearchState {
+    fn new(names: &[&str]) -> Self {
+        let mut fleet = Fleet::new(names);
+        fleet.publish(10, 1, 0);
+        fleet.run(Duration::from_secs(2));
+        Self {
+            fleet,
+            published: 0,
+            restarts_left: 2,
+        }
+    }
+
+    /// Applies `event`, unless it cannot happen in this state.
+    fn after(&self, event: SearchEvent, names: &[InstanceId]) -> Option<Self> {
+        let mut next = self.clone();
+        next.fleet.log.clear();
+        let fleet = &mut next.fleet;
+        match event {
+            SearchEvent::Publish { reader } => {
+                let (revision, version, content) = *PUBLICATIONS.get(self.published)?;
+                fleet.publish(revision, version, content);
+                fleet.read(&names[reader]);
+                next.published += 1;
+            }
+            SearchEvent::GoBack { reader } => {
+                fleet.publish(10, 1, 0);
+                fleet.read(&names[reader]);
+            }
+            SearchEvent::Read { reader } => fleet.read(&names[reader]),
+            SearchEvent::Exchange {
+                from,
+                to,
+                lose_answer,
+            } => fleet.exchange(&names[from], &names[to], lose_answer),
+            SearchEvent::LoseFetch => fleet.lost_fetches = 1,
+            SearchEvent::Restart { instance } => {
+                next.restarts_left = self.restarts_left.checked_sub(1)?;
+                fleet.kill(&names[instance]);
+                fleet.start(&names[instance]);
+            }
+            SearchEvent::PauseAndResume { instance } => {
+                fleet.now = fleet.now + SETTLED;
+                fleet.resume(&names[instance]);
+            }
+            SearchEvent::ToggleLink { from, to } => {
+                let link = (names[from].clone(), names[to].clone());
+                match fleet.cuts.contains(&link) {
+                    true => fleet.cuts.clear(),
+                    false => fleet.cut(&names[from], &names[to]),
+                }
+            }
+            SearchEvent::Wait => fleet.tick(SETTLED),
+        }
+        Some(next)
+    }
+
+    /// Heals all links and lets the instances talk; the platform serves whatever it served last.
+    fn check_convergence(&self, names: &[InstanceId], path: &str) {
+        let mut fleet = self.fleet.clone();
+        let highest = fleet.stamps().last().copied().flatten();
+        fleet.cuts.clear();
+        fleet.lost_fetches = 0;
+        for _ in 0..4 {
+            for from in names {
+                for to in names {
+                    fleet.exchange(from, to, false);
+                }
+            }
+            fleet.tick(SETTLED);
+        }
+        let stamps = fleet.stamps();
+        assert_eq!(
+            stamps.len(),
+            1,
+            "instances stay apart after {path}: {stamps:?}"
+        );
+        assert!(
+            stamps.last().copied().flatten() >= highest,
+            "the highest sheet is lost after {path}"
+        );
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let mut writer = HashWriter(DefaultHasher::new());
+        write!(writer, "{self:?}").unwrap();
+        writer.0.finish()
+    }
+}
+
+/// Hashes what is written, so that states are compared without keeping their text.
+struct HashWriter(DefaultHasher);
+
+impl Write for HashWriter {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.0.write(text.as_bytes());
+        Ok(())
+    }
+}
+
+fn events(count: usize) -> Vec<SearchEvent> {
+    let mut events = vec![SearchEvent::Wait, SearchEvent::LoseFetch];
+    for index in 0..count {
+        let next = (index + 1) % count;
+        events.extend([
+            SearchEvent::Publish { reader: index },
+            SearchEvent::GoBack { reader: index },
+            SearchEvent::Read { reader: index },
+            SearchEvent::Restart { instance: index },
+            SearchEvent::PauseAndResume { instance: index },
+            SearchEvent::Exchange {
+                from: index,
+                to: next,
+                lose_answer: true,
+            },
+        ]);
+        if index < next || count > 2 {
+            events.push(SearchEvent::Exchange {
+                from: index,
+                to: next,
+                lose_answer: false,
+            });
+            events.push(SearchEvent::ToggleLink {
+                from: index,
+                to: next,
+            });
+        }
+    }
+    events
+}
+
+/// Depth beyond the gating one, from `ANVILHUB_SEARCH_EXTRA`. Each further level has six to
+/// eleven times as many states.
+fn extra_depth() -> usize {
+    let extra = std::env::var("ANVILHUB_SEARCH_EXTRA").ok();
+    extra.and_then(|extra| extra.parse().ok()).unwrap_or(0)
+}
+
+fn search(names: &[&str], depth: usize) {
+    let depth = depth + extra_depth();
+    let ids: Vec<InstanceId> = names.iter().map(|name| id(name)).collect();
+    let mut seen = HashSet::new();
+    let mut frontier = vec![(SearchState::new(names), String::new())];
+    for _ in 0..depth {
+        let mut reached = Vec::new();
+        for (state, path) in &frontier {
+            for event in events(names.len()) {
+                let path = format!("{path} {event:?}");
+                let Some(next) = state.after(event, &ids) else {
+                    continue;
+                };
+                if seen.insert(next.fingerprint()) {
+                    next.check_convergence(&ids, &path);
+                    reached.push((next, path));
+                }
+            }
+        }
+        frontier = reached;
+    }
+    println!(
+        "{} states of {} instances to depth {depth}",
+        seen.len(),
+        names.len()
+    );
+}
+
+#[test]
+fn two_instances() {
+    search(&["a", "b"], 4);
+}
+
+#[test]
+fn three_instances() {
+    search(&["a", "b", "c"], 3);
+}
--- a/crates/anvilhub-coord/tests/fleet.rs
+++ b/crates/anvilhub-coord/tests/fleet.rs
@@ -19,7 +19,7 @@
 /// Ticks between exchanges and between reads of the platform.
 const ROUND_STEPS: u64 = 5;
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Process {
     pub acceptor: SheetAcceptor,
     pub paused: bool,
@@ -29,7 +29,7 @@
     floors: Vec<(InstanceId, u64, SheetVersion)>,
 }
 
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub now: ClockTime,
     pub processes: BTreeMap<InstanceId, Process>,
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Lets time pass without exchanges and reads.
+    pub fn tick(&mut self, duration: Duration) {
+        self.now = self.now + duration;
+        for instance in self.running() {
+            self.input(&instance, SheetInput::Tick);
+        }
+    }
+
     /// Processes that run and are not paused.
     pub fn running(&self) -> Vec<InstanceId> {
         let processes = self.processes.iter();
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,5 +1,7 @@
 //! Tests of the coordination library, one file a feature.
 
+mod acceptance_scenarios;
+mod acceptor_search;
 mod answer_gather;
 mod fleet;
 mod gossip_spread;
