--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -1,12 +1,15 @@
 use std::sync::Arc;
 
+use anvilhub_coord::border::operator::{PeerState, SheetState, StateReport};
+use anvilhub_coord::ids::InstanceId;
+use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::Sender;
 use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::PrometheusHandle;
 use oxhttp::Server;
 use oxhttp::model::header::CONTENT_TYPE;
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
-use serde_json::json;
+use serde::Serialize;
 
 use crate::context::EntryContext;
 use crate::lifecycle::LifecycleStage;
@@ -63,27 +66,44 @@
 
     fn ready(&self) -> Response<Body> {
         let stage = self.context.stage.get();
-        let status = match stage {
-            LifecycleStage::Ready => StatusCode::OK,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        text(status, format!("{stage}\n"))
+        match (stage, self.context.configuration.is_ready()) {
+            (LifecycleStage::Ready, true) => text(StatusCode::OK, "ready\n".to_owned()),
+            (LifecycleStage::Ready, false) => text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "confirming the sheet\n".to_owned(),
+            ),
+            _ => text(StatusCode::SERVICE_UNAVAILABLE, format!("{stage}\n")),
+        }
     }
 
     fn state(&self) -> Response<Body> {
-        let sheet = self.context.sheet.load();
-        let state = json!({
-            "instance": self.context.settings.instance,
-            "failure_domain": self.context.settings.failure_domain,
-            "stage": self.context.stage.get().to_string(),
-            "sheet_version": sheet.as_ref().map(|sheet| sheet.version),
-            "sheet_digest": sheet.as_ref().map(|sheet| sheet.digest),
-            "requests_in_flight": self.context.requests_in_flight(),
-        });
-        Response::builder()
-            .header(CONTENT_TYPE, "application/json")
-            .body(state.to_string().into())
-            .expect("a constant response head is valid")
+        let sheet = self.context.sheet.load_full();
+        let now = self.context.clock.now();
+        json(&StateReport {
+            instance: self.context.settings.instance.clone(),
+            failure_domain: self.context.settings.failure_domain.clone(),
+            stage: self.context.stage.get().to_string(),
+            sheet: sheet.map(|sheet| SheetState {
+                version: sheet.version,
+                digest: sheet.digest.to_string(),
+            }),
+            requests_in_flight: self.context.requests_in_flight() as u64,
+            tickets: self.context.tickets.drain_report(now).owned() as u64,
+            peers: self.peers(now),
+            upstreams: Vec::new(),
+            alarms: self.context.configuration.alarms(),
+        })
+    }
+
+    fn peers(&self, now: ClockTime) -> Vec<PeerState> {
+        let members = self.context.members();
+        let state = |peer: &InstanceId| PeerState {
+            instance: peer.clone(),
+            address: members.address(peer).map(|address| address.to_string()),
+            state: members.state(peer, now).to_string(),
+            sheet: None,
+        };
+        members.peers().map(state).collect()
     }
 
     fn start_drain(&self) -> Response<Body> {
@@ -100,3 +120,11 @@
         .body(body.into())
         .expect("a constant response head is valid")
 }
+
+fn json(document: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_string(document).expect("border types serialize to JSON");
+    Response::builder()
+        .header(CONTENT_TYPE, "application/json")
+        .body(body.into())
+        .expect("a constant response head is valid")
+}
