Accept packed sheets, so that the target size fits the platform's limit

Cause: a sheet of 15,000 replicas has about 2 MB as JSON, while the configuration service holds values up to 1 MB.

Ruled out: several values for one sheet (readers could see parts of two versions); defaults for replicas (the identifiers and addresses alone exceed the limit); a new text form for replicas (a parser of our own).

--- a/crates/anvilhub-coord/src/sheet/draft_sheet.rs
+++ b/crates/anvilhub-coord/src/sheet/draft_sheet.rs
@@ -1,9 +1,9 @@
 use serde_json::Value;
 
 use super::document_shape::SHEET;
-use super::{CheckedSheet, Result, SheetCheck, SheetDocument, SheetFault};
+use super::{CheckedSheet, PackedSheet, Result, SheetCheck, SheetDocument, SheetFault};
 
-/// Largest sheet, in bytes. The configuration service holds values up to this size.
+/// Largest published value, in bytes. The configuration service holds values up to this size.
 pub const MAX_SHEET_BYTES: usize = 1_000_000;
 
 /// A sheet that has the right fields and types, not yet checked as a whole.
@@ -13,7 +13,7 @@
 }
 
 impl DraftSheet {
-    /// Reads a document.
+    /// Reads a published value: the JSON document, or its gzip form in base64.
     ///
     /// # Errors
     ///
@@ -23,18 +23,29 @@
         if bytes.len() > MAX_SHEET_BYTES {
             return Err(vec![size_fault(bytes.len())]);
         }
-        if bytes.trim_ascii().is_empty() {
+        let bytes = bytes.trim_ascii();
+        if bytes.is_empty() {
             return Err(vec![empty_fault()]);
         }
+        match PackedSheet::detect(bytes) {
+            Some(packed) => Self::from_json(&packed.unpack()?),
+            None => Self::from_json(bytes),
+        }
+    }
+
+    /// The typed reader decides; only when it refuses, the slower check of the shape finds every fault.
+    fn from_json(bytes: &[u8]) -> Result<Self> {
+        let error = match serde_json::from_slice(bytes) {
+            Ok(document) => return Ok(Self { document }),
+            Err(error) => error,
+        };
         let value: Value = serde_json::from_slice(bytes).map_err(|error| syntax(&error))?;
         let mut faults = Vec::new();
         SHEET.check("", &value, &mut faults);
-        if !faults.is_empty() {
-            return Err(SheetCheck::bounded(faults));
+        match faults.is_empty() {
+            true => Err(syntax(&error)),
+            false => Err(SheetCheck::bounded(faults)),
         }
-        // A field that occurs twice is visible to the typed reader only.
-        let document = serde_json::from_slice(bytes).map_err(|error| syntax(&error))?;
-        Ok(Self { document })
     }
 
     /// A draft of a document that was put together from parts, as a fetch from a peer does.
@@ -58,7 +69,7 @@
         "",
         format!("{size} bytes"),
         format!("at most {MAX_SHEET_BYTES} bytes"),
-        "export the sheet without indentation and with shorter identifiers",
+        "publish the packed form: `gzip -c SHEET | base64`",
     )
 }
 
--- a/crates/anvilhub-coord/src/sheet/mod.rs
+++ b/crates/anvilhub-coord/src/sheet/mod.rs
@@ -4,6 +4,7 @@
 mod checked_sheet;
 mod document_shape;
 mod draft_sheet;
+mod packed_sheet;
 mod range_check;
 mod replica_spec;
 mod route_policy;
@@ -23,6 +24,7 @@
 pub use accepted_sheet::AcceptedSheet;
 pub use checked_sheet::CheckedSheet;
 pub use draft_sheet::{DraftSheet, MAX_SHEET_BYTES};
+pub use packed_sheet::MAX_UNPACKED_BYTES;
 pub use replica_spec::ReplicaSpec;
 pub use route_policy::RoutePolicy;
 pub use service_diff::ServiceDiff;
@@ -37,5 +39,7 @@
 pub use sheet_step::SheetStep;
 pub use value_change::ValueChange;
 
+use packed_sheet::PackedSheet;
+
 /// Result of checking a sheet: every fault, not only the first.
 pub type Result<T, E = Vec<SheetFault>> = std::result::Result<T, E>;
--- a/crates/anvilhub-coord/tests/sheet_check.rs
+++ b/crates/anvilhub-coord/tests/sheet_check.rs
@@ -1,8 +1,15 @@
 //! Guards against a faulty sheet that passes the check, and against faults without a usable place.
 
 use std::fs;
+use std::io::Write;
 
-use anvilhub_coord::sheet::{CheckedSheet, MAX_SHEET_BYTES, SheetFault, SheetStep};
+use anvilhub_coord::sheet::{
+    CheckedSheet, MAX_SHEET_BYTES, MAX_UNPACKED_BYTES, SheetFault, SheetStep,
+};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use flate2::Compression;
+use flate2::write::GzEncoder;
 
 use crate::sheets::{example, example_path};
 
@@ -111,6 +118,82 @@
     assert!(CheckedSheet::from_bytes(&bytes).is_err());
 }
 
+/// `bytes` in the packed form.
+fn pack(bytes: &[u8]) -> Vec<u8> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(bytes).unwrap();
+    STANDARD.encode(encoder.finish().unwrap()).into_bytes()
+}
+
+#[test]
+fn packed_sheet() {
+    let bytes = fs::read(example_path("bordurtas.json")).unwrap();
+    let packed = pack(&bytes);
+    assert!(packed.len() < bytes.len());
+    let sheet = CheckedSheet::from_bytes(&packed).unwrap();
+    assert_eq!(sheet.digest, example("bordurtas.json").digest);
+    for length in 0..packed.len() {
+        assert!(
+            CheckedSheet::from_bytes(&packed[..length]).is_err(),
+            "prefix of {length} bytes"
+        );
+    }
+}
+
+#[test]
+fn packed_bomb() {
+    // Guards against a small value that exhausts the memory.
+    let packed = pack(&vec![b' '; 50_000_000]);
+    assert!(packed.len() < MAX_SHEET_BYTES);
+    let faults = CheckedSheet::from_bytes(&packed).unwrap_err();
+    assert!(
+        faults[0].found.contains(&MAX_UNPACKED_BYTES.to_string()),
+        "{faults:?}"
+    );
+}
+
+#[test]
+fn target_size() {
+    // Guards against a format in which the sheet of 15,000 replicas does not fit the platform's limit.
+    let replica = |service: usize, shard: usize, index: usize| {
+        let number = (service * 107 + shard) * 2 + index;
+        serde_json::json!({
+            "id": format!("service-{service}-{shard}-{index}"),
+            "address": format!("10.{}.{}.{}:7301", number / 50_000 + 1, number / 200 % 250, number % 200 + 1),
+            "failure_domain": format!("region-{}-{}", number % 3, number % 7), "slots": 2, "connections": 25
+        })
+    };
+    let shard = |service: usize, index: usize| {
+        let start = (index << 32) / 107;
+        serde_json::json!({
+            "name": format!("shard-{index}"), "start": start, "end": ((index + 1) << 32) / 107,
+            "replicas": [replica(service, index, 0), replica(service, index, 1)]
+        })
+    };
+    let service = |index: usize| {
+        let shards: Vec<_> = (0..107).map(|number| shard(index, number)).collect();
+        serde_json::json!({
+            "name": format!("service-{index}"), "callers": ["foreman"], "urgency": "urgent",
+            "repeatability": "idempotent", "shards": shards
+        })
+    };
+    let services: Vec<_> = (0..71).map(service).collect();
+    let bytes =
+        serde_json::to_vec(&serde_json::json!({"version": 1, "services": services})).unwrap();
+    let packed = pack(&bytes);
+    println!("{} bytes, {} packed", bytes.len(), packed.len());
+    assert!(bytes.len() > MAX_SHEET_BYTES);
+    let sheet = CheckedSheet::from_bytes(&packed).unwrap();
+    assert_eq!(
+        sheet
+            .services
+            .values()
+            .map(|service| service.replicas().count())
+            .sum::<usize>(),
+        15_194
+    );
+}
+
 #[test]
 fn every_truncation() {
     // Guards against a partly written sheet that passes: no proper prefix does.
