--- a/crates/anvilhubd/src/caller/mod.rs
+++ b/crates/anvilhubd/src/caller/mod.rs
@@ -1,7 +1,9 @@
 //! HTTP server towards callers.
 
+mod caller_reply;
 mod caller_server;
 mod query_handler;
 
+pub(crate) use caller_reply::CallerReply;
 pub(crate) use caller_server::CallerServer;
 pub(crate) use query_handler::QueryHandler;
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -11,8 +11,9 @@
 use log::info;
 use tokio::time::timeout;
 
+use super::CallerReply;
 use crate::context::EntryContext;
-use crate::fanout::FanoutRunner;
+use crate::fanout::{FanoutRunner, run_batch};
 use crate::filters::{
     CallerFilter, DeadlineFilter, EntryRequest, FilterChain, RequestError, Result, ServiceFilter,
 };
@@ -46,11 +47,11 @@
     /// Answers one request; errors become answers.
     pub(crate) async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let _guard = self.context.begin_request();
-        let (status, answer) = match self.read_query(request).await {
+        let reply = match self.read_query(request).await {
             Ok(query) => self.answer(query, RequestOrigin::Caller).await,
             Err(error) => refuse(&error, no_request_id()),
         };
-        let mut response = respond(status, &answer);
+        let mut response = reply.into_response();
         if self.context.stage.get() == LifecycleStage::Draining {
             response.headers_mut().insert(
                 header::CONNECTION,
@@ -82,16 +83,16 @@
     }
 
     /// Answers a parsed request of a caller or of another instance.
-    pub(crate) async fn answer(
-        &self,
-        query: QueryRequest,
-        origin: RequestOrigin,
-    ) -> (StatusCode, QueryAnswer) {
+    pub(crate) async fn answer(&self, query: QueryRequest, origin: RequestOrigin) -> CallerReply {
         let request_id = query.request_id.clone();
         match self.run_query(query, origin).await {
             Ok(answer) => {
                 log_answer(&answer);
-                (status_of(&answer), answer)
+                CallerReply {
+                    status: status_of(&answer),
+                    retry_after: None,
+                    answer,
+                }
             }
             Err(error) => refuse(&error, request_id),
         }
@@ -99,7 +100,7 @@
 
     /// Runs sub-requests of another instance's request.
     pub(crate) async fn run_batch(&self, batch: BatchMessage) -> BatchAnswer {
-        self.runner.run_batch(batch).await
+        run_batch(&self.context, batch).await
     }
 
     async fn run_query(&self, query: QueryRequest, origin: RequestOrigin) -> Result<QueryAnswer> {
@@ -148,9 +149,13 @@
     info!(request_id:% = answer.request_id, outcome:% = answer.outcome, coverage; "request answered");
 }
 
-fn refuse(error: &RequestError, request_id: RequestId) -> (StatusCode, QueryAnswer) {
+fn refuse(error: &RequestError, request_id: RequestId) -> CallerReply {
     info!(request_id:% = request_id, code = error.code(); "request refused: {error}");
-    (error.status(), error.answer(request_id))
+    CallerReply {
+        status: error.status(),
+        retry_after: error.retry_after(),
+        answer: error.answer(request_id),
+    }
 }
 
 fn status_of(answer: &QueryAnswer) -> StatusCode {
@@ -160,12 +165,3 @@
         QueryOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
     }
 }
-
-fn respond(status: StatusCode, answer: &QueryAnswer) -> Response<Full<Bytes>> {
-    let body = serde_json::to_vec(answer).expect("border types serialize to JSON");
-    Response::builder()
-        .status(status)
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(Bytes::from(body)))
-        .expect("a constant response head is valid")
-}
--- a/crates/anvilhubd/src/controllers/mod.rs
+++ b/crates/anvilhubd/src/controllers/mod.rs
@@ -7,6 +7,7 @@
 mod peer_exchange;
 mod platform_client;
 mod platform_watcher;
+mod upstream_controller;
 
 pub(crate) use config_controller::ConfigController;
 pub(crate) use config_state::ConfigState;
@@ -15,3 +16,4 @@
 pub(crate) use peer_exchange::PeerExchange;
 pub(crate) use platform_client::PlatformClient;
 pub(crate) use platform_watcher::PlatformWatcher;
+pub(crate) use upstream_controller::UpstreamController;
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::context::EntryContext;
 use crate::controllers::{
     ConfigController, HeartbeatController, MemberController, PeerExchange, PlatformWatcher,
+    UpstreamController,
 };
 use crate::lifecycle::{Draining, InstanceLifecycle, Ready};
 use crate::logging;
@@ -52,6 +53,7 @@
     HeartbeatController::new(Arc::clone(&context)).spawn()?;
     let exchange = PeerExchange::new(Arc::clone(&context), runtime.handle().clone());
     ConfigController::new(Arc::clone(&context), exchange, ready_sender).spawn()?;
+    UpstreamController::new(Arc::clone(&context), runtime.handle().clone()).spawn()?;
 
     info!(instance:% = context.settings.instance; "learning the sheet in force");
     select! {
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -1,8 +1,10 @@
+use anvilhub_coord::admission::RefusalReason;
 use anvilhub_coord::border::query::{ErrorEntry, QueryAnswer, QueryOutcome, TicketEntry};
 use anvilhub_coord::ids::{ByteSize, CallerName, RequestId, ServiceName};
 use anvilhub_coord::ticket::TicketRefusal;
 use derive_more::{Display, Error};
 use hyper::StatusCode;
+use std::time::Duration;
 
 /// Why a request was refused or failed.
 #[derive(Clone, Debug, Display, Error, PartialEq)]
@@ -38,6 +40,13 @@
     BadTicket { reason: String },
     #[display("{refusal}")]
     TicketRefused { refusal: TicketRefusal },
+    #[display("service `{service}` did not admit the request: {reason}")]
+    NotAdmitted {
+        service: ServiceName,
+        #[error(not(source))]
+        reason: RefusalReason,
+        estimated_wait: Duration,
+    },
 }
 
 impl RequestError {
@@ -55,6 +64,10 @@
             Self::NotReady | Self::NoTicket { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TicketRequired { .. } => StatusCode::PRECONDITION_REQUIRED,
             Self::TicketRefused { .. } => StatusCode::CONFLICT,
+            Self::NotAdmitted { reason, .. } => match reason {
+                RefusalReason::QueueFull | RefusalReason::Shed => StatusCode::TOO_MANY_REQUESTS,
+                RefusalReason::TooLate | RefusalReason::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            },
         }
     }
 
@@ -74,6 +87,12 @@
             Self::TicketRequired { .. } => "ticket_required",
             Self::BadTicket { .. } => "bad_ticket",
             Self::NoTicket { refusal } | Self::TicketRefused { refusal } => refusal.code(),
+            Self::NotAdmitted { reason, .. } => match reason {
+                RefusalReason::TooLate => "too_late",
+                RefusalReason::Expired => "expired",
+                RefusalReason::QueueFull => "queue_full",
+                RefusalReason::Shed => "shed",
+            },
         }
     }
 
@@ -87,6 +106,14 @@
         }
     }
 
+    /// Whole seconds after which another try may be admitted.
+    pub(crate) fn retry_after(&self) -> Option<u64> {
+        match self {
+            Self::NotAdmitted { estimated_wait, .. } => Some(estimated_wait.as_secs() + 1),
+            _ => None,
+        }
+    }
+
     fn remedy(&self) -> &'static str {
         match self {
             Self::UnknownPath { .. } => "send queries to POST /v1/query",
@@ -103,6 +130,14 @@
             Self::NoTicket { .. } => "send the request to another instance",
             Self::BadTicket { .. } => "send the ticket unchanged",
             Self::TicketRefused { .. } => "look up the effect before repeating the request",
+            Self::NotAdmitted { reason, .. } => match reason {
+                RefusalReason::TooLate | RefusalReason::Expired => {
+                    "wait as `Retry-After` says, or send the request with more time"
+                }
+                RefusalReason::QueueFull | RefusalReason::Shed => {
+                    "wait as `Retry-After` says, or send the request with a higher urgency"
+                }
+            },
         }
     }
 
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon `anvilhubd`: I/O around the decisions of `anvilhub-coord`.
 
+mod admission;
 mod caller;
 mod clock;
 mod context;
@@ -8,10 +9,12 @@
 mod fanout;
 mod filters;
 mod lifecycle;
+mod live_fleet;
 mod logging;
 mod operator;
 mod peer;
 mod pool;
+mod routes;
 mod settings;
 mod settings_error;
 mod tickets;
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -5,7 +5,7 @@
 use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
 use anvilhub_coord::ids::RequestId;
 use anvilhub_coord::keyspace::KeyRange;
-use anvilhub_coord::sheet::{ReplicaSpec, ShardSpec};
+use anvilhub_coord::sheet::{RepeatPolicy, ReplicaSpec, ShardSpec};
 use anvilhub_coord::ticket::{
     NotRunReason, RequestTicket, SendDecision, TicketOutcome, TicketRun, TryDecision, TryResult,
 };
@@ -14,7 +14,7 @@
 
 use crate::context::EntryContext;
 use crate::filters::EntryRequest;
-use crate::pool::{PoolError, UpstreamConnection};
+use crate::pool::{ConnectionLease, PoolError};
 
 /// Runs one ticketed request at one upstream.
 pub(crate) struct TicketExecutor {
@@ -50,14 +50,20 @@
         shard: &ShardSpec,
         replica: &ReplicaSpec,
     ) -> Option<TicketOutcome> {
-        // A new connection is proof of life. An idle one may be silent, and then the effect stays unknown.
-        let connection = timeout(
-            self.context.settings.connect_timeout,
-            UpstreamConnection::open(replica.address),
-        );
-        let Ok(Ok(mut connection)) = connection.await else {
-            self.log_try(shard, replica, "connection not opened");
-            return None;
+        // The pool hands out a new connection or one with a recent proof of life. A silent one would leave the
+        // effect unknown.
+        let patience = self.context.settings.connect_timeout;
+        let lease = self
+            .context
+            .pool
+            .acquire(replica.address, RepeatPolicy::NonIdempotent, patience)
+            .await;
+        let lease = match lease {
+            Ok(lease) => lease,
+            Err(error) => {
+                self.log_try(shard, replica, &error.to_string());
+                return None;
+            }
         };
         // The decision comes after the wait for the connection: the process may have been paused in it.
         if self.context.was_paused_since(self.request.arrived) {
@@ -66,7 +72,7 @@
         if let SendDecision::Stop(outcome) = run.may_send(self.context.clock.now()) {
             return Some(outcome);
         }
-        let result = self.send(&mut connection, run, replica.address).await;
+        let result = self.send(lease, run, replica.address).await;
         let tried = match &result {
             Ok(_) => TryResult::Answered,
             Err(PoolError::Unconnected { .. }) => TryResult::NeverOpened,
@@ -93,7 +99,7 @@
 
     async fn send(
         &self,
-        connection: &mut UpstreamConnection,
+        lease: ConnectionLease,
         run: &TicketRun,
         address: SocketAddr,
     ) -> crate::pool::Result<SubAnswer> {
@@ -110,7 +116,7 @@
             key: Some(self.key),
             query: self.request.query.query.clone(),
         };
-        let exchange = connection.query(&sub_request, self.context.settings.max_answer);
+        let exchange = lease.query(&sub_request, self.context.settings.max_answer);
         let answer = timeout(remaining, exchange)
             .await
             .unwrap_or(Err(PoolError::Timeout { address }))?;
