--- a/crates/anvilhub-coord/src/routing/upstream_view.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_view.rs
@@ -56,7 +56,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamView {
     in_flight: u32,
-    waiting_since: Option<ClockTime>,
     latency_micros: Option<f64>,
     samples: u32,
     failures: u32,
@@ -68,16 +67,14 @@
 
 impl UpstreamView {
     /// Counts an attempt that is sent now.
-    pub fn sent(&mut self, now: ClockTime) {
+    pub fn sent(&mut self) {
         self.in_flight += 1;
-        self.waiting_since.get_or_insert(now);
     }
 
     /// Counts an answer that arrived `latency` after sending, with the load that it states.
     pub fn answered(&mut self, now: ClockTime, latency: Duration, load: LoadReport) {
         self.finish();
         self.failures = 0;
-        self.waiting_since = (self.in_flight > 0).then_some(now);
         self.add_sample(latency);
         self.observe(now, load, LeavingSignal::Answer);
     }
@@ -86,7 +83,6 @@
     pub fn refused(&mut self, now: ClockTime, load: LoadReport) {
         self.finish();
         self.failures = 0;
-        self.waiting_since = (self.in_flight > 0).then_some(now);
         self.observe(now, load, LeavingSignal::Refusal);
     }
 
@@ -122,7 +118,6 @@
     pub fn replaced(&mut self) {
         *self = Self {
             in_flight: self.in_flight,
-            waiting_since: self.waiting_since,
             ..Self::default()
         };
     }
@@ -173,7 +168,6 @@
     /// Copies what a replica choice needs.
     pub fn load(&self, now: ClockTime) -> UpstreamLoad {
         let latency = self.latency().unwrap_or(UNKNOWN_LATENCY);
-        let latency = latency.max(self.silence(now));
         let held = 1.0 + f64::from(self.in_flight) + self.others_at(now);
         UpstreamLoad {
             in_flight: self.in_flight,
@@ -183,13 +177,6 @@
         }
     }
 
-    /// Time without any answer while attempts are in flight. It reveals a slow or silent upstream before
-    /// the first late answer does.
-    pub fn silence(&self, now: ClockTime) -> Duration {
-        self.waiting_since
-            .map_or(Duration::ZERO, |since| now.since(since))
-    }
-
     /// Load by other instances, fading with the age of the observation.
     fn others_at(&self, now: ClockTime) -> f64 {
         let Some((time, others)) = self.others else {
@@ -212,9 +199,6 @@
 
     fn finish(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if self.in_flight == 0 {
-            self.waiting_since = None;
-        }
     }
 
     fn add_sample(&mut self, latency: Duration) {
--- a/crates/anvilhub-dev/src/bench/driver/attempts.rs
+++ b/crates/anvilhub-dev/src/bench/driver/attempts.rs
@@ -38,7 +38,7 @@
         let entry = &mut self.entries[handler];
         let (connection, opening) =
             entry.connect(self.now, upstream, self.desk.repeat, self.desk.opening);
-        entry.views[upstream].sent(self.now);
+        entry.views[upstream].sent();
         let attempts = &mut self.queries[query].subs[shard].attempts;
         let first = attempts.is_empty();
         let id = (query, shard, attempts.len());
