Try an upstream with one attempt after its ejection

Cause: an ejected upstream returned with full load, and five late or failed attempts were needed to eject it again; after the loss of a failure domain every return cost each shard several timeouts. Change: after an ejection an upstream gets one attempt at a time until three were answered, and one late or failed attempt ejects it again. Its slots count only after the trial. Ruled out: longer first ejections, because neighbours slow an upstream for 300 ms only.

--- a/crates/anvilhub-coord/src/routing/ejection_policy.rs
+++ b/crates/anvilhub-coord/src/routing/ejection_policy.rs
@@ -27,6 +27,8 @@
     pub leaving: bool,
     /// Whether it is ejected already.
     pub ejected: bool,
+    /// Whether it is on trial after an ejection.
+    pub on_trial: bool,
 }
 
 /// Decides which upstreams of a service are ejected temporarily.
@@ -67,16 +69,20 @@
         let median = median_latency(upstreams);
         let limit = median.map(|median| median.mul_f64(SLOW_FACTOR).max(median + LEAST_EXCESS));
         let is_slow = |each: &EjectionCandidate| {
-            let late = each.samples >= LEAST_SAMPLES
+            let (samples, failures) = match each.on_trial {
+                true => (1, 1),
+                false => (LEAST_SAMPLES, FAILURES),
+            };
+            let late = each.samples >= samples
                 && limit.is_some_and(|limit| each.latency.is_some_and(|latency| latency > limit));
-            !each.leaving && !each.ejected && (late || each.failures >= FAILURES)
+            !each.leaving && !each.ejected && (late || each.failures >= failures)
         };
         let mut slow: Vec<usize> = (0..upstreams.len())
             .filter(|&index| is_slow(&upstreams[index]))
             .collect();
         slow.sort_by_key(|&index| {
             let upstream = &upstreams[index];
-            std::cmp::Reverse((upstream.failures >= FAILURES, upstream.latency))
+            std::cmp::Reverse((upstream.failures, upstream.latency))
         });
         slow
     }
--- a/crates/anvilhub-coord/src/routing/upstream_load.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_load.rs
@@ -9,7 +9,7 @@
     pub expected: Duration,
     /// Whether it gets no new work.
     pub leaving: bool,
-    /// Whether it is temporarily ejected.
+    /// Whether it is temporarily ejected, or on trial with an attempt in flight.
     pub ejected: bool,
 }
 
--- a/crates/anvilhub-coord/src/routing/upstream_view.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_view.rs
@@ -21,6 +21,9 @@
 /// Time after an ejection's end during which a new one is longer.
 const EJECTION_MEMORY: Duration = Duration::from_secs(60);
 
+/// Answers in a row that end the trial after an ejection.
+const TRIAL_ANSWERS: u32 = 3;
+
 /// The signal that an upstream is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum LeavingSignal {
@@ -63,6 +66,7 @@
     leaving: Option<LeavingSignal>,
     ejected_until: Option<ClockTime>,
     ejections: u32,
+    trial: u32,
 }
 
 impl UpstreamView {
@@ -75,6 +79,7 @@
     pub fn answered(&mut self, now: ClockTime, latency: Duration, load: LoadReport) {
         self.finish();
         self.failures = 0;
+        self.trial = self.trial.saturating_sub(1);
         self.add_sample(latency);
         self.observe(now, load, LeavingSignal::Answer);
     }
@@ -157,9 +162,16 @@
         self.latency_micros = None;
         self.samples = 0;
         self.failures = 0;
+        self.trial = TRIAL_ANSWERS;
         until
     }
 
+    /// Says whether the upstream returned from an ejection and has yet to prove itself. It then gets one
+    /// attempt at a time, and a single late or failed one ejects it again.
+    pub fn is_on_trial(&self, now: ClockTime) -> bool {
+        self.trial > 0 && !self.is_ejected(now)
+    }
+
     /// Says whether the upstream is ejected at `now`.
     pub fn is_ejected(&self, now: ClockTime) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
@@ -173,7 +185,7 @@
             in_flight: self.in_flight,
             expected: latency.mul_f64(held),
             leaving: self.leaving.is_some(),
-            ejected: self.is_ejected(now),
+            ejected: self.is_ejected(now) || (self.is_on_trial(now) && self.in_flight > 0),
         }
     }
 
--- a/crates/anvilhub-dev/src/bench/fake_entry.rs
+++ b/crates/anvilhub-dev/src/bench/fake_entry.rs
@@ -173,6 +173,7 @@
                 failures: self.views[upstream].failures(),
                 leaving: false,
                 ejected: self.views[upstream].is_ejected(now),
+                on_trial: self.views[upstream].is_on_trial(now),
             })
             .collect();
         for index in EjectionPolicy.plan(&candidates) {
@@ -195,7 +196,8 @@
     pub(crate) fn usable_slots(&self, now: ClockTime, shard: usize) -> SlotCount {
         let first = shard * self.replicas;
         let usable = (first..first + self.replicas)
-            .filter(|&upstream| !self.views[upstream].is_ejected(now))
+            .map(|upstream| &self.views[upstream])
+            .filter(|view| !view.is_ejected(now) && !view.is_on_trial(now))
             .count() as u32;
         let slots = SlotCount((self.slots[shard] * usable / self.replicas as u32).max(1));
         match self.owned[shard] {
