Test routing, admission and connection decisions

Cause: nothing showed that the decisions keep their bounds under faults. The test of the budget found that a hedge a tenth of a second outside the counted window could make an exact second exceed the extra load; RetryBudget now counts what was surely earned against what may have been spent. Ruled out: a tolerance in the test.

--- a/crates/anvilhub-coord/src/routing/mod.rs
+++ b/crates/anvilhub-coord/src/routing/mod.rs
@@ -21,7 +21,7 @@
 pub use latency_window::LatencyWindow;
 pub use owner_health::OwnerHealth;
 pub use replica_picker::{PickError, PickReason, ReplicaChoice, ReplicaPicker};
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{BUDGET_WINDOW, RetryBudget};
 pub use slot_allowance::SlotAllowance;
 pub use slot_queue::{SlotOffer, SlotQueue, SlotRelease};
 pub use upstream_load::{ReplicaCandidate, UpstreamLoad};
--- a/crates/anvilhub-coord/src/routing/replica_picker.rs
+++ b/crates/anvilhub-coord/src/routing/replica_picker.rs
@@ -99,7 +99,7 @@
         let hedge = further == Some(AttemptKind::Hedge);
         match (healthy.as_slice(), untried.as_slice()) {
             (_, []) => Err(PickError::AllFull),
-            ([], _) if hedge => Err(PickError::AllTried),
+            ([], _) if hedge => Err(PickError::AllFull),
             ([], ejected) => Ok(ReplicaChoice {
                 index: self.compare(candidates, ejected, rng).index,
                 reason: PickReason::AllEjected,
--- a/crates/anvilhub-coord/src/routing/retry_budget.rs
+++ b/crates/anvilhub-coord/src/routing/retry_budget.rs
@@ -5,8 +5,10 @@
 /// Window within which spending is bounded, and after which unused tokens expire: tokens earned at a demand
 /// peak must not be spent after it.
 pub const BUDGET_WINDOW: Duration = Duration::from_secs(1);
-/// Steps in which the window moves.
-const STEP_COUNT: u64 = 10;
+/// Steps of a window.
+const WINDOW_STEPS: u64 = 10;
+/// Steps kept: the present one is not over, so a whole window reaches into one more step.
+const STEP_COUNT: u64 = WINDOW_STEPS + 1;
 /// One hedge or retry, in units that are counted without rounding.
 const TOKEN: u64 = 1_000_000;
 
@@ -66,10 +68,12 @@
         self.saved >= TOKEN && spent + TOKEN <= earned.max(TOKEN)
     }
 
+    /// What was surely earned within the window that ends now, and what may have been spent within it.
     fn window(&self) -> (u64, u64) {
-        self.steps.iter().fold((0, 0), |(earned, spent), step| {
-            (earned + step.earned, spent + step.spent)
-        })
+        let oldest = ((self.step + 1) % STEP_COUNT) as usize;
+        let earned: u64 = self.steps.iter().map(|step| step.earned).sum();
+        let spent = self.steps.iter().map(|step| step.spent).sum();
+        (earned - self.steps[oldest].earned, spent)
     }
 
     fn current(&mut self) -> &mut BudgetStep {
@@ -77,7 +81,7 @@
     }
 
     fn advance(&mut self, now: ClockTime) {
-        let step_micros = BUDGET_WINDOW.as_micros() as u64 / STEP_COUNT;
+        let step_micros = BUDGET_WINDOW.as_micros() as u64 / WINDOW_STEPS;
         let target = now.0 / step_micros;
         if target <= self.step {
             return;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/attempt_rule.rs
@@ -0,0 +1,86 @@
+//! Guards against a second run of a non-idempotent sub-request.
+
+use anvilhub_coord::routing::{
+    AttemptKind, AttemptRule, AttemptState, AttemptVerdict, ForbiddenReason,
+};
+use anvilhub_coord::sheet::RepeatPolicy;
+use anvilhub_coord::time::ClockTime;
+
+const DEADLINE: ClockTime = ClockTime(100);
+const STATES: [AttemptState; 8] = [
+    AttemptState::Unsent,
+    AttemptState::ConnectFailed,
+    AttemptState::Refused,
+    AttemptState::InFlight,
+    AttemptState::TimedOut,
+    AttemptState::Broken,
+    AttemptState::BadAnswer,
+    AttemptState::Answered,
+];
+const KINDS: [AttemptKind; 2] = [AttemptKind::Retry, AttemptKind::Hedge];
+
+fn non_idempotent_rules() -> [AttemptRule; 3] {
+    [
+        AttemptRule::new(RepeatPolicy::NonIdempotent, true, DEADLINE),
+        AttemptRule::new(RepeatPolicy::NonIdempotent, false, DEADLINE),
+        AttemptRule::new(RepeatPolicy::Idempotent, false, DEADLINE),
+    ]
+}
+
+#[test]
+fn started_never_repeated() {
+    let proven = [AttemptState::ConnectFailed, AttemptState::Refused];
+    for rule in non_idempotent_rules() {
+        for first in STATES {
+            for second in STATES {
+                let retry = rule.decide(ClockTime(0), AttemptKind::Retry, &[first, second]);
+                let may_retry = proven.contains(&first) && proven.contains(&second);
+                assert_eq!(
+                    retry == AttemptVerdict::Allowed,
+                    may_retry,
+                    "{first} {second}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn non_idempotent_never_hedged() {
+    for rule in non_idempotent_rules() {
+        for state in STATES {
+            let verdict = rule.decide(ClockTime(0), AttemptKind::Hedge, &[state]);
+            assert_ne!(verdict, AttemptVerdict::Allowed, "{state}");
+        }
+    }
+}
+
+#[test]
+fn answer_ends_attempts() {
+    let rule = AttemptRule::new(RepeatPolicy::Idempotent, true, DEADLINE);
+    let earlier = [AttemptState::Answered, AttemptState::InFlight];
+    for kind in KINDS {
+        assert_eq!(
+            rule.decide(ClockTime(0), kind, &earlier),
+            AttemptVerdict::Forbidden(ForbiddenReason::Answered)
+        );
+    }
+}
+
+#[test]
+fn deadline_ends_attempts() {
+    let rule = AttemptRule::new(RepeatPolicy::Idempotent, true, DEADLINE);
+    for (kind, state) in [
+        (AttemptKind::Retry, AttemptState::Broken),
+        (AttemptKind::Hedge, AttemptState::InFlight),
+    ] {
+        assert_eq!(
+            rule.decide(ClockTime(99), kind, &[state]),
+            AttemptVerdict::Allowed
+        );
+        assert_eq!(
+            rule.decide(DEADLINE, kind, &[state]),
+            AttemptVerdict::Forbidden(ForbiddenReason::DeadlinePassed)
+        );
+    }
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/connection_ledger.rs
@@ -0,0 +1,153 @@
+//! Guards against requests that are lost on connections which something between the ends forgot.
+
+use std::time::Duration;
+
+use anvilhub_coord::connection::{ConnectionId, ConnectionLedger, ConnectionPlan, ConnectionState};
+use anvilhub_coord::sheet::RepeatPolicy::{Idempotent, NonIdempotent};
+use anvilhub_coord::time::ClockTime;
+
+const LIMIT: Duration = Duration::from_millis(100);
+const SHARE: u32 = 6;
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+/// A ledger whose share is open and idle since `now`.
+fn warm_ledger(now: ClockTime) -> ConnectionLedger {
+    let mut ledger = ConnectionLedger::new(SHARE);
+    for id in 0..u64::from(SHARE) {
+        assert_eq!(ledger.acquire(now, Idempotent), ConnectionPlan::Open);
+        ledger.opened(now, ConnectionId(id));
+    }
+    for id in 0..u64::from(SHARE) {
+        ledger.finished(now, ConnectionId(id));
+    }
+    ledger
+}
+
+#[test]
+fn mass_of_silent_bounded() {
+    // All connections become silent while idle; requests keep arriving every 10 ms.
+    let mut ledger = warm_ledger(at(0));
+    let mut next_id = 100;
+    let mut affected = 0;
+    for millis in (5_000..15_000).step_by(10) {
+        let now = at(millis);
+        for closed in ledger.check(now, LIMIT).close {
+            assert!(closed.0 < 100, "a working connection was closed");
+        }
+        match ledger.acquire(now, Idempotent) {
+            ConnectionPlan::Use(ConnectionId(id)) if id < 100 => affected += 1,
+            ConnectionPlan::Use(id) => ledger.finished(now, id),
+            ConnectionPlan::Probe(_) | ConnectionPlan::Wait => {}
+            ConnectionPlan::Open | ConnectionPlan::Replace(_) => {
+                next_id += 1;
+                ledger.opened(now, ConnectionId(next_id));
+                ledger.finished(now, ConnectionId(next_id));
+            }
+        }
+    }
+
+    assert_eq!(
+        affected, 1,
+        "one unproven connection may carry a request at a time"
+    );
+    assert!(next_id > 100, "no working connection was opened");
+}
+
+#[test]
+fn silence_makes_idle_suspect() {
+    let mut ledger = warm_ledger(at(0));
+    let ConnectionPlan::Use(silent) = ledger.acquire(at(10), Idempotent) else {
+        panic!("an idle connection is used");
+    };
+    let ConnectionPlan::Use(alive) = ledger.acquire(at(10), Idempotent) else {
+        panic!("an idle connection is used");
+    };
+    ledger.finished(at(50), alive);
+
+    let report = ledger.check(at(120), LIMIT);
+
+    assert_eq!(report.close, [silent]);
+    assert_eq!(report.suspect.len(), SHARE as usize - 2);
+    assert_eq!(ledger.state(alive), Some(ConnectionState::Idle));
+    assert_eq!(
+        ledger.acquire(at(130), Idempotent),
+        ConnectionPlan::Use(alive)
+    );
+}
+
+#[test]
+fn suspect_probed_before_use() {
+    let mut ledger = warm_ledger(at(0));
+    ledger.doubt_all();
+    let ConnectionPlan::Probe(probed) = ledger.acquire(at(10), Idempotent) else {
+        panic!("a suspect connection carries no request without a probe");
+    };
+    ledger.finished(at(12), probed);
+
+    assert_eq!(
+        ledger.acquire(at(13), Idempotent),
+        ConnectionPlan::Use(probed)
+    );
+}
+
+#[test]
+fn non_idempotent_needs_proof() {
+    let mut ledger = warm_ledger(at(0));
+    assert!(matches!(
+        ledger.acquire(at(500), NonIdempotent),
+        ConnectionPlan::Use(_)
+    ));
+
+    let plan = ledger.acquire(at(5_000), NonIdempotent);
+    assert!(matches!(plan, ConnectionPlan::Replace(_)), "{plan:?}");
+    ledger.opened(at(5_006), ConnectionId(100));
+    ledger.doubt_all();
+    let plan = ledger.acquire(at(5_010), NonIdempotent);
+    assert!(matches!(plan, ConnectionPlan::Replace(_)), "{plan:?}");
+}
+
+#[test]
+fn slow_upstream_keeps_connections() {
+    let mut ledger = ConnectionLedger::new(SHARE);
+    for id in 0..3 {
+        ledger.acquire(at(0), Idempotent);
+        ledger.opened(at(0), ConnectionId(id));
+    }
+    let report = ledger.check(at(500), LIMIT);
+    assert!(report.upstream_suspect);
+    assert!(
+        report.close.is_empty(),
+        "no other connection proved these silent"
+    );
+
+    // A fresh connection opens, which proves that the others are silent.
+    assert_eq!(ledger.acquire(at(501), Idempotent), ConnectionPlan::Open);
+    ledger.opened(at(502), ConnectionId(9));
+    assert_eq!(ledger.check(at(503), LIMIT).close.len(), 3);
+}
+
+#[test]
+fn one_request_at_a_time() {
+    let mut ledger = warm_ledger(at(0));
+    let mut used = Vec::new();
+    while let ConnectionPlan::Use(id) = ledger.acquire(at(1), Idempotent) {
+        assert!(!used.contains(&id), "{id} carries two requests");
+        used.push(id);
+    }
+
+    assert_eq!(used.len(), SHARE as usize);
+    assert!(ledger.is_full());
+    assert_eq!(ledger.acquire(at(1), Idempotent), ConnectionPlan::Wait);
+}
+
+#[test]
+fn smaller_share_closes_idle() {
+    let mut ledger = warm_ledger(at(0));
+    ledger.acquire(at(1), Idempotent);
+
+    assert_eq!(ledger.set_share(2).len(), 4);
+    assert_eq!(ledger.held(), 2);
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/ejection_policy.rs
@@ -0,0 +1,102 @@
+//! Guards against ejections that remove a shard or much of a service.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+fn upstream(shard: usize, latency_ms: u64) -> EjectionCandidate {
+    EjectionCandidate {
+        shard,
+        latency: Some(Duration::from_millis(latency_ms)),
+        samples: 100,
+        ..EjectionCandidate::default()
+    }
+}
+
+#[test]
+fn slow_upstream_ejected() {
+    let mut upstreams: Vec<_> = (0..12).map(|index| upstream(index / 2, 5)).collect();
+    upstreams[3].latency = Some(Duration::from_millis(50));
+
+    assert_eq!(EjectionPolicy.plan(&upstreams), [3]);
+}
+
+#[test]
+fn last_replica_kept() {
+    let failing = EjectionCandidate {
+        failures: 100,
+        ..upstream(0, 900)
+    };
+    let leaving = EjectionCandidate {
+        leaving: true,
+        ..upstream(0, 5)
+    };
+    let peers = (1..10).map(|shard| upstream(shard, 5));
+    let upstreams: Vec<_> = [failing, leaving].into_iter().chain(peers).collect();
+
+    assert!(EjectionPolicy.plan(&upstreams).is_empty());
+}
+
+#[test]
+fn limits_hold_at_random() {
+    for seed in 0..500 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let shards = rng.random_range(1..12);
+        let mut upstreams: Vec<_> = (0..rng.random_range(shards..shards * 5))
+            .map(|index| EjectionCandidate {
+                shard: index % shards,
+                latency: rng
+                    .random_bool(0.9)
+                    .then(|| Duration::from_millis(rng.random_range(1..200))),
+                samples: rng.random_range(0..20),
+                failures: rng.random_range(0..9),
+                leaving: rng.random_bool(0.1),
+                ejected: false,
+                on_trial: rng.random_bool(0.2),
+            })
+            .collect();
+        for _ in 0..5 {
+            let before = usable_by_shard(&upstreams);
+            for index in EjectionPolicy.plan(&upstreams) {
+                assert!(!upstreams[index].leaving && !upstreams[index].ejected);
+                upstreams[index].ejected = true;
+            }
+            let ejected = upstreams.iter().filter(|each| each.ejected).count();
+            assert!(
+                ejected <= upstreams.len() / 3,
+                "seed {seed}: {ejected} ejected"
+            );
+            let after = usable_by_shard(&upstreams);
+            for shard in before.keys() {
+                assert!(
+                    after.contains_key(shard),
+                    "seed {seed}: shard {shard} has no replica"
+                );
+            }
+        }
+    }
+}
+
+fn usable_by_shard(upstreams: &[EjectionCandidate]) -> BTreeMap<usize, usize> {
+    let mut usable = BTreeMap::new();
+    for each in upstreams
+        .iter()
+        .filter(|each| !each.ejected && !each.leaving)
+    {
+        *usable.entry(each.shard).or_default() += 1;
+    }
+    usable
+}
+
+#[test]
+fn trial_fails_at_once() {
+    let mut upstreams: Vec<_> = (0..6).map(|index| upstream(index / 2, 5)).collect();
+    upstreams[0].failures = 1;
+    assert!(EjectionPolicy.plan(&upstreams).is_empty());
+
+    upstreams[0].on_trial = true;
+    assert_eq!(EjectionPolicy.plan(&upstreams), [0]);
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/hedge_policy.rs
@@ -0,0 +1,48 @@
+//! Guards against hedges that are sent too early, or are disabled by a past slowdown.
+
+use std::time::Duration;
+
+use anvilhub_coord::routing::{HedgePolicy, LatencyWindow};
+use anvilhub_coord::time::ClockTime;
+
+fn window(start: ClockTime, millis: impl Iterator<Item = u64>) -> LatencyWindow {
+    let mut window = LatencyWindow::default();
+    for latency in millis {
+        window.record(start, Duration::from_millis(latency));
+    }
+    window
+}
+
+#[test]
+fn delay_is_quantile() {
+    let shard = window(ClockTime(0), 1..=100);
+    let policy = HedgePolicy::new(0.95);
+
+    let delay = policy
+        .delay(&shard, &LatencyWindow::default())
+        .expect("enough samples");
+
+    assert!((95..=105).contains(&delay.as_millis()), "{delay:?}");
+}
+
+#[test]
+fn few_samples_use_service() {
+    let shard = window(ClockTime(0), 1..=3);
+    let service = window(ClockTime(0), 1..=100);
+    let policy = HedgePolicy::new(0.95);
+
+    assert!(policy.delay(&shard, &service) > Some(Duration::from_millis(90)));
+    assert_eq!(policy.delay(&shard, &shard), None);
+}
+
+#[test]
+fn past_slowdown_forgotten() {
+    let mut shard = window(ClockTime(0), (0..100).map(|_| 800));
+    let later = ClockTime(0) + Duration::from_secs(20);
+    for _ in 0..100 {
+        shard.record(later, Duration::from_millis(5));
+    }
+    let delay = HedgePolicy::new(0.95).delay(&shard, &shard);
+
+    assert!(delay < Some(Duration::from_millis(10)), "{delay:?}");
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/matrix/leaving_upstream.rs
@@ -0,0 +1,132 @@
+//! Guards against new work for an upstream that is leaving.
+
+use std::time::Duration;
+
+use anvilhub_coord::routing::{
+    AttemptKind, LeavingSignal, LoadReport, PickError, ReplicaCandidate, ReplicaPicker,
+    UpstreamView,
+};
+use anvilhub_coord::time::ClockTime;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const START: ClockTime = ClockTime(10_000_000);
+const SEED: u64 = 7;
+const DRAINING: LoadReport = LoadReport {
+    in_flight: 0,
+    age: Duration::ZERO,
+    draining: true,
+};
+const CONTRADICTION: LoadReport = LoadReport {
+    draining: false,
+    ..DRAINING
+};
+
+/// The views of two replicas; the first is about to leave.
+fn replicas() -> [UpstreamView; 2] {
+    Default::default()
+}
+
+fn candidates(views: &[UpstreamView; 2], now: ClockTime) -> Vec<ReplicaCandidate> {
+    views
+        .iter()
+        .map(|view| ReplicaCandidate {
+            load: view.load(now),
+            same_domain: true,
+            tried: false,
+            full: false,
+        })
+        .collect()
+}
+
+/// Picks often, for every kind of attempt, and fails when the first replica is chosen.
+fn assert_unused(views: &[UpstreamView; 2], now: ClockTime) {
+    println!("seed {SEED}");
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    for further in [None, Some(AttemptKind::Retry), Some(AttemptKind::Hedge)] {
+        for _ in 0..100 {
+            let choice = ReplicaPicker::default().pick(&candidates(views, now), further, &mut rng);
+            assert!(
+                choice.is_err() || choice.is_ok_and(|choice| choice.index == 1),
+                "a leaving upstream got a {further:?} attempt"
+            );
+        }
+    }
+}
+
+#[test]
+fn lagging_list() {
+    let mut views = replicas();
+    views[0].sent();
+    // The list still says live; the answer is the first to tell.
+    views[0].answered(START, Duration::from_millis(1), DRAINING);
+
+    assert_eq!(views[0].leaving(), Some(LeavingSignal::Answer));
+    assert_unused(&views, START);
+}
+
+#[test]
+fn misleading_load() {
+    let mut views = replicas();
+    views[0].mark_leaving(LeavingSignal::List);
+    views[0].reported(START, CONTRADICTION);
+
+    assert_unused(&views, START);
+}
+
+#[test]
+fn late_answer() {
+    let mut views = replicas();
+    views[0].sent();
+    views[0].sent();
+    views[0].refused(START, DRAINING);
+    // An answer from before the refusal arrives after it.
+    views[0].answered(START, Duration::from_millis(1), CONTRADICTION);
+
+    assert_eq!(views[0].leaving(), Some(LeavingSignal::Refusal));
+    assert_unused(&views, START);
+}
+
+#[test]
+fn replica_lost() {
+    let mut views = replicas();
+    views[0].mark_leaving(LeavingSignal::Peer);
+    for _ in 0..10 {
+        views[1].sent();
+        views[1].failed(Duration::from_millis(100));
+    }
+    views[1].eject(START);
+
+    assert_unused(&views, START);
+}
+
+#[test]
+fn straggler_shard() {
+    let mut views = replicas();
+    views[0].mark_leaving(LeavingSignal::Report);
+    for _ in 0..50 {
+        views[1].sent();
+    }
+
+    assert_unused(&views, START);
+}
+
+#[test]
+fn process_paused() {
+    let mut views = replicas();
+    views[0].mark_leaving(LeavingSignal::Answer);
+
+    assert_unused(&views, START + Duration::from_secs(3_600));
+}
+
+#[test]
+fn upstream_partition() {
+    let mut views = replicas();
+    views[0].mark_leaving(LeavingSignal::List);
+    views[1].mark_leaving(LeavingSignal::List);
+    let mut rng = SmallRng::seed_from_u64(SEED);
+
+    let choice = ReplicaPicker::default().pick(&candidates(&views, START), None, &mut rng);
+
+    assert_eq!(choice, Err(PickError::AllLeaving));
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/matrix/true_not_run_admission.rs
@@ -0,0 +1,146 @@
+//! Guards against a `not_run` outcome for a request that may have run, or runs later.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use anvilhub_coord::admission::{AdmissionGate, AdmissionSettings, AdmissionVerdict};
+use anvilhub_coord::ids::SlotCount;
+use anvilhub_coord::routing::{
+    AttemptKind, AttemptOutcome, AttemptRule, AttemptState, AttemptVerdict, SlotOffer, SlotQueue,
+};
+use anvilhub_coord::sheet::{RepeatPolicy, UrgencyClass};
+use anvilhub_coord::time::ClockTime;
+
+const DEADLINE: ClockTime = ClockTime(1_000_000);
+
+fn retry_of_non_idempotent(state: AttemptState) -> AttemptVerdict {
+    AttemptRule::new(RepeatPolicy::NonIdempotent, true, DEADLINE).decide(
+        ClockTime(0),
+        AttemptKind::Retry,
+        &[state],
+    )
+}
+
+fn assert_unknown(state: AttemptState) {
+    assert_eq!(AttemptOutcome::of(&[state]), AttemptOutcome::Unknown);
+    assert_ne!(retry_of_non_idempotent(state), AttemptVerdict::Allowed);
+}
+
+#[test]
+fn silent_connection() {
+    assert_unknown(AttemptState::Broken);
+}
+
+#[test]
+fn upstream_partition() {
+    assert_unknown(AttemptState::TimedOut);
+    let mixed = [AttemptState::ConnectFailed, AttemptState::TimedOut];
+    assert_eq!(AttemptOutcome::of(&mixed), AttemptOutcome::Unknown);
+
+    let unopened = AttemptOutcome::of(&[AttemptState::ConnectFailed]);
+    assert_eq!(unopened, AttemptOutcome::NotRun);
+}
+
+#[test]
+fn late_answer() {
+    // An answer that belongs to another request says nothing about this one.
+    assert_unknown(AttemptState::BadAnswer);
+}
+
+#[test]
+fn replica_lost() {
+    let attempts = [AttemptState::Refused, AttemptState::Broken];
+    assert_eq!(AttemptOutcome::of(&attempts), AttemptOutcome::Unknown);
+}
+
+#[test]
+fn instance_killed() {
+    // The upstream process dies after the request was written, before any byte of an answer.
+    assert_unknown(AttemptState::Broken);
+    let done = [AttemptState::Broken, AttemptState::Answered];
+    assert_eq!(AttemptOutcome::of(&done), AttemptOutcome::Done);
+}
+
+#[test]
+fn process_paused() {
+    let mut gate = AdmissionGate::new(AdmissionSettings {
+        initial_limit: 1,
+        least_limit: 1,
+        ..AdmissionSettings::default()
+    });
+    for item in 0..10 {
+        gate.arrive(ClockTime(0), UrgencyClass::Standard, DEADLINE, item);
+    }
+
+    // The process resumes after the deadline, with the first request just finished.
+    let release = gate.finish(DEADLINE, Duration::from_secs(1));
+
+    assert!(release.start.is_empty(), "an expired request was started");
+    assert_eq!(release.refused.len(), 9);
+}
+
+#[test]
+fn straggler_shard() {
+    let mut queue = SlotQueue::new(SlotCount(1), 4, Duration::from_millis(5));
+    let mut sent = BTreeSet::new();
+    let mut handed_back = BTreeSet::new();
+    for item in 0..8_u64 {
+        let deadline = ClockTime::from_millis(50 + item * 10);
+        match queue.offer(ClockTime(0), UrgencyClass::Standard, deadline, item) {
+            SlotOffer::Start(item) => assert!(sent.insert(item)),
+            SlotOffer::Queued => {}
+            SlotOffer::QueuedInstead(item) | SlotOffer::Full(item) | SlotOffer::Expired(item) => {
+                assert!(handed_back.insert(item));
+            }
+        }
+    }
+    // The slot is held by a straggler past some of the deadlines.
+    let release = queue.release(ClockTime::from_millis(70));
+    sent.extend(release.start);
+    handed_back.extend(release.expired);
+
+    assert!(sent.is_disjoint(&handed_back));
+    assert!(handed_back.contains(&1), "an expired sub-request was kept");
+    assert_eq!(sent.len() + handed_back.len() + queue.waiting(), 8);
+}
+
+#[test]
+fn misleading_load() {
+    // However wrong the estimate is, an item is either started or refused, and only once.
+    let mut gate = AdmissionGate::new(AdmissionSettings {
+        queue_capacity: 3,
+        initial_limit: 1,
+        least_limit: 1,
+        greatest_limit: 2,
+    });
+    let mut started = Vec::new();
+    let mut refused = Vec::new();
+    for item in 0..200_u64 {
+        let now = ClockTime::from_millis(item);
+        let urgency = match item % 3 {
+            0 => UrgencyClass::Urgent,
+            1 => UrgencyClass::Standard,
+            _ => UrgencyClass::Deferred,
+        };
+        let arrival = gate.arrive(now, urgency, now + Duration::from_millis(40), item);
+        match arrival.verdict {
+            AdmissionVerdict::Start(item) => started.push(item),
+            AdmissionVerdict::Refused(refusal) => refused.push(refusal.item),
+            AdmissionVerdict::Queued => {}
+        }
+        refused.extend(arrival.shed.map(|refusal| refusal.item));
+        if item % 7 == 0 && gate.running() > 0 {
+            let release = gate.finish(now, Duration::from_millis(1 + item % 50));
+            started.extend(release.start);
+            refused.extend(release.refused.into_iter().map(|refusal| refusal.item));
+        }
+    }
+    let mut seen: Vec<u64> = started.iter().chain(&refused).copied().collect();
+    seen.sort_unstable();
+    let total = seen.len();
+    seen.dedup();
+
+    assert!(!started.is_empty() && !refused.is_empty());
+    assert_eq!(seen.len(), total, "an item was handed out twice");
+    assert_eq!(total + gate.waiting(), 200);
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/replica_picker.rs
@@ -0,0 +1,99 @@
+//! Guards against attempts that go to a replica which cannot help.
+
+use std::time::Duration;
+
+use anvilhub_coord::routing::{
+    AttemptKind, PickError, PickReason, ReplicaCandidate, ReplicaPicker, UpstreamLoad,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn candidate(expected_ms: u64) -> ReplicaCandidate {
+    ReplicaCandidate {
+        load: UpstreamLoad {
+            in_flight: 0,
+            expected: Duration::from_millis(expected_ms),
+            leaving: false,
+            ejected: false,
+        },
+        same_domain: true,
+        tried: false,
+        full: false,
+    }
+}
+
+fn ejected(expected_ms: u64) -> ReplicaCandidate {
+    let mut candidate = candidate(expected_ms);
+    candidate.load.ejected = true;
+    candidate
+}
+
+fn pick(
+    candidates: &[ReplicaCandidate],
+    further: Option<AttemptKind>,
+) -> Result<(usize, PickReason), PickError> {
+    let mut rng = SmallRng::seed_from_u64(3);
+    ReplicaPicker::default()
+        .pick(candidates, further, &mut rng)
+        .map(|choice| (choice.index, choice.reason))
+}
+
+#[test]
+fn least_expected_wins() {
+    let candidates = [candidate(9), candidate(4)];
+    assert_eq!(pick(&candidates, None), Ok((1, PickReason::LeastExpected)));
+}
+
+#[test]
+fn domain_outweighs_small_difference() {
+    let far = ReplicaCandidate {
+        same_domain: false,
+        ..candidate(4)
+    };
+    assert_eq!(
+        pick(&[far, candidate(5)], None),
+        Ok((1, PickReason::SameDomain))
+    );
+    assert_eq!(
+        pick(&[far, candidate(9)], None),
+        Ok((0, PickReason::LeastExpected))
+    );
+}
+
+#[test]
+fn tried_replica_skipped() {
+    let tried = ReplicaCandidate {
+        tried: true,
+        ..candidate(1)
+    };
+    let hedge = Some(AttemptKind::Hedge);
+    assert_eq!(
+        pick(&[tried, candidate(9)], hedge),
+        Ok((1, PickReason::OnlyUsable))
+    );
+    assert_eq!(pick(&[tried], hedge), Err(PickError::AllTried));
+}
+
+#[test]
+fn hedge_avoids_ejected() {
+    let candidates = [ejected(1), ejected(9)];
+    assert_eq!(
+        pick(&candidates, Some(AttemptKind::Hedge)),
+        Err(PickError::AllFull)
+    );
+    assert_eq!(pick(&candidates, None), Ok((0, PickReason::AllEjected)));
+}
+
+#[test]
+fn full_replica_skipped() {
+    let full = ReplicaCandidate {
+        full: true,
+        ..candidate(1)
+    };
+    assert_eq!(
+        pick(&[full, candidate(9)], None),
+        Ok((1, PickReason::OnlyUsable))
+    );
+    assert_eq!(pick(&[full, full], None), Err(PickError::AllFull));
+    assert_eq!(pick(&[], None), Err(PickError::NoReplica));
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/slot_queue.rs
@@ -0,0 +1,88 @@
+//! Guards against expired work that is sent, and urgent work that waits behind other work.
+
+use std::time::Duration;
+
+use anvilhub_coord::ids::SlotCount;
+use anvilhub_coord::routing::{SlotAllowance, SlotOffer, SlotQueue};
+use anvilhub_coord::sheet::UrgencyClass::{Deferred, Standard, Urgent};
+use anvilhub_coord::time::ClockTime;
+
+const LATE: ClockTime = ClockTime(900_000);
+
+fn busy_queue(capacity: usize) -> SlotQueue<&'static str> {
+    let mut queue = SlotQueue::new(SlotCount(1), capacity, Duration::from_millis(5));
+    let offer = queue.offer(ClockTime(0), Standard, LATE, "running");
+    assert_eq!(offer, SlotOffer::Start("running"));
+    queue
+}
+
+#[test]
+fn expired_never_sent() {
+    let mut queue = busy_queue(8);
+    queue.offer(ClockTime(0), Urgent, ClockTime::from_millis(20), "near");
+    queue.offer(ClockTime(0), Deferred, LATE, "far");
+
+    let release = queue.release(ClockTime::from_millis(16));
+
+    assert_eq!(release.start, ["far"]);
+    assert_eq!(release.expired, ["near"]);
+    let offer = queue.offer(LATE, Urgent, LATE, "past");
+    assert_eq!(offer, SlotOffer::Expired("past"));
+}
+
+#[test]
+fn urgency_then_deadline() {
+    let mut queue = busy_queue(8);
+    queue.offer(ClockTime(0), Deferred, ClockTime(100_000), "deferred");
+    queue.offer(ClockTime(0), Urgent, LATE, "urgent late");
+    queue.offer(ClockTime(0), Urgent, ClockTime(800_000), "urgent soon");
+
+    let order: Vec<_> = (0..3)
+        .flat_map(|_| queue.release(ClockTime(0)).start)
+        .collect();
+
+    assert_eq!(order, ["urgent soon", "urgent late", "deferred"]);
+}
+
+#[test]
+fn full_queue_sheds_least_urgent() {
+    let mut queue = busy_queue(1);
+    assert_eq!(
+        queue.offer(ClockTime(0), Standard, LATE, "first"),
+        SlotOffer::Queued
+    );
+
+    let offer = queue.offer(ClockTime(0), Deferred, LATE, "deferred");
+    assert_eq!(offer, SlotOffer::Full("deferred"));
+    let offer = queue.offer(ClockTime(0), Urgent, LATE, "urgent");
+    assert_eq!(offer, SlotOffer::QueuedInstead("first"));
+}
+
+#[test]
+fn hedge_takes_free_slot_only() {
+    let mut queue = busy_queue(8);
+    assert!(!queue.try_occupy());
+    queue.set_slots(ClockTime(0), SlotCount(2));
+    assert!(queue.try_occupy());
+    assert_eq!(queue.busy(), 2);
+}
+
+#[test]
+fn allowance_follows_service_time() {
+    let allowance = SlotAllowance {
+        round_trip: Duration::from_millis(3),
+    };
+    let of = |millis| {
+        allowance
+            .of(SlotCount(2), Duration::from_millis(millis))
+            .get()
+    };
+
+    assert_eq!(of(1), 4, "at most twice the slots");
+    assert_eq!(of(9), 3);
+    assert_eq!(of(3_000_000), 3, "rounded up");
+    assert_eq!(
+        allowance.of(SlotCount(0), Duration::from_millis(9)),
+        SlotCount(0)
+    );
+}
