Prove the ticket and gather guarantees under every fault

Each guarantee has to hold under every fault of the design, at every step and in pairs. Unit tests of the table and the gather do not show that.

tests/scenarios holds one file for each fault, in a small language that datadriven runs.

The mutations for expiry at the start and at the sending are one switch now, because either check alone stops an expired request.

Ruled out: judging cells by their transcripts too, because a change of one guarantee then fails the cells of all others; the transcripts have a test of their own.

--- a/crates/anvilhub-coord/src/ticket/ticket_record.rs
+++ b/crates/anvilhub-coord/src/ticket/ticket_record.rs
@@ -48,7 +48,7 @@
 
     /// Settles a ticket that expired before its request started, for good: it never starts.
     pub(crate) fn settle_expired(&mut self, now: ClockTime) {
-        let is_expired = now >= self.expires_at && !mutation::is_active("expired_starts");
+        let is_expired = now >= self.expires_at && !mutation::is_active("expired_runs");
         if is_expired && matches!(self.stage, TicketStage::Issued) {
             let outcome = TicketOutcome::NotRun(NotRunReason::Expired);
             self.stage = TicketStage::Settled(None, outcome);
--- a/crates/anvilhub-coord/src/ticket/ticket_run.rs
+++ b/crates/anvilhub-coord/src/ticket/ticket_run.rs
@@ -84,10 +84,10 @@
         if self.tries_left == 0 {
             return SendDecision::Stop(TicketOutcome::NotRun(NotRunReason::Refused));
         }
-        if now >= self.expires_at && !mutation::is_active("expired_is_sent") {
+        if now >= self.expires_at && !mutation::is_active("expired_runs") {
             return SendDecision::Stop(TicketOutcome::NotRun(NotRunReason::Expired));
         }
-        if now >= self.deadline && !mutation::is_active("expired_is_sent") {
+        if now >= self.deadline && !mutation::is_active("expired_runs") {
             return SendDecision::Stop(TicketOutcome::NotRun(NotRunReason::DeadlinePassed));
         }
         self.tries_left -= 1;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/gather_properties.rs
@@ -0,0 +1,149 @@
+//! Guards against answers that make gathering panic, claim more coverage than was searched, or mix requests
+//! and snapshots, whatever upstreams send.
+
+use std::collections::BTreeSet;
+
+use anvilhub_coord::border::query::RowEntry;
+use anvilhub_coord::border::upstream::SubAnswer;
+use anvilhub_coord::gather::{AnswerGather, GatherLimits, MissingReason};
+use anvilhub_coord::ids::{RequestId, SnapshotId};
+use anvilhub_coord::keyspace::KeyRange;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::scenario::test_seed;
+
+const ASKED: KeyRange = KeyRange { start: 10, end: 50 };
+const MAX_ROWS: usize = 60;
+const CASES: u32 = 2_000;
+
+/// One thing that happens to a gather. Ids are few, so that answers are often doubled or crossed.
+#[derive(Clone, Debug)]
+enum Event {
+    Expect { id: u8, range: KeyRange },
+    Answer { asked_as: u8, answer: SubAnswer },
+    Fail { id: u8 },
+    Pin(u64),
+    AskMoved,
+}
+
+fn range() -> impl Strategy<Value = KeyRange> {
+    (0..60_u64, 0..60_u64).prop_map(|(start, end)| KeyRange::new(start, end))
+}
+
+fn answer() -> impl Strategy<Value = SubAnswer> {
+    let rows = prop::collection::vec(0..60_u64, 0..30);
+    (0..8_u8, 1..3_u64, range(), rows).prop_map(|(id, snapshot, range, keys)| SubAnswer {
+        request_id: request_id(id),
+        snapshot: SnapshotId(snapshot),
+        start: range.start,
+        end: range.end,
+        rows: (keys.into_iter())
+            .map(|key| RowEntry {
+                key,
+                value: format!("{id}/{snapshot}"),
+            })
+            .collect(),
+        held: Vec::new(),
+        draining: false,
+        in_flight: None,
+    })
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0..8_u8, range()).prop_map(|(id, range)| Event::Expect { id, range }),
+        4 => (0..8_u8, answer()).prop_map(|(asked_as, answer)| Event::Answer { asked_as, answer }),
+        // The right id, so that enough answers are accepted.
+        4 => answer().prop_map(|answer| Event::Answer { asked_as: own_id(&answer), answer }),
+        1 => (0..8_u8).prop_map(|id| Event::Fail { id }),
+        1 => (1..3_u64).prop_map(Event::Pin),
+        1 => Just(Event::AskMoved),
+    ]
+}
+
+fn request_id(id: u8) -> RequestId {
+    format!("r{id}").parse().unwrap()
+}
+
+fn own_id(answer: &SubAnswer) -> u8 {
+    answer.request_id.as_str()[1..].parse().unwrap()
+}
+
+/// What a gather may claim: the keys that were searched for it, for each snapshot.
+#[derive(Default)]
+struct SearchedKeys {
+    keys: BTreeSet<(u64, u64)>,
+}
+
+fn check(events: Vec<Event>) -> Result<(), TestCaseError> {
+    let limits = GatherLimits {
+        max_rows: MAX_ROWS,
+        ..GatherLimits::default()
+    };
+    let mut gather = AnswerGather::new(ASKED, limits);
+    let mut searched = SearchedKeys::default();
+    for event in events {
+        match event {
+            Event::Expect { id, range } => gather.expect(request_id(id), range),
+            Event::Answer { asked_as, answer } => {
+                let snapshot = answer.snapshot.get();
+                let range = KeyRange::new(answer.start, answer.end);
+                let is_own = own_id(&answer) == asked_as;
+                let accepted = gather.accept(&request_id(asked_as), answer).is_ok();
+                prop_assert!(is_own || !accepted, "another request's answer was accepted");
+                if accepted {
+                    let keys = (range.start..range.end).map(|key| (snapshot, key));
+                    searched.keys.extend(keys);
+                }
+            }
+            Event::Fail { id } => gather.fail(&request_id(id), MissingReason::Timeout),
+            Event::Pin(snapshot) => drop(gather.pin(SnapshotId(snapshot))),
+            Event::AskMoved => drop(gather.take_repartitioned()),
+        }
+    }
+    check_answer(gather, &searched)
+}
+
+fn check_answer(gather: AnswerGather, searched: &SearchedKeys) -> Result<(), TestCaseError> {
+    let answer = gather.finish();
+    let snapshot = answer.snapshot.map_or(0, SnapshotId::get);
+    let missing = |key| {
+        let mut parts = answer.coverage.missing.iter();
+        parts.any(|part| part.range.contains(key))
+    };
+    let mut covered = 0;
+    for key in (ASKED.start..ASKED.end).filter(|&key| !missing(key)) {
+        covered += 1;
+        prop_assert!(
+            searched.keys.contains(&(snapshot, key)),
+            "key {key} was not searched"
+        );
+    }
+    let truth = f64::from(covered) / ASKED.len() as f64;
+    prop_assert_eq!(answer.coverage.fraction, truth);
+    prop_assert_eq!(answer.coverage.complete, truth == 1.0);
+    prop_assert!(answer.rows.len() <= MAX_ROWS);
+    for row in &answer.rows {
+        prop_assert!(ASKED.contains(row.key) && !missing(row.key), "row {row:?}");
+        prop_assert!(row.value.ends_with(&format!("/{snapshot}")), "row {row:?}");
+    }
+    Ok(())
+}
+
+#[test]
+fn coverage_stays_true() {
+    let seed = test_seed();
+    println!("ANVILHUB_SEED={seed}");
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let events = prop::collection::vec(event(), 0..40);
+    runner.run(&events, check).unwrap();
+}
--- /dev/null
+++ b/crates/anvilhub-coord/tests/matrix/true_not_run.rs
@@ -0,0 +1,29 @@
+//! Guards against `not_run` for a request that took effect or takes effect later.
+
+use crate::scenario::{HistoryJudge, RequestWorld};
+
+const JUDGE: HistoryJudge = HistoryJudge {
+    request: Some(RequestWorld::breach_of_not_run),
+    fan_out: None,
+};
+
+cells! {
+    JUDGE;
+    straggler_shard_at_each_step
+    replica_lost_at_each_step
+    config_stale_at_each_step
+    process_paused_at_each_step
+    entry_partition_at_each_step
+    upstream_partition_at_each_step
+    silent_connection_at_each_step
+    instance_killed_at_each_step
+    planned_stop_at_each_step
+    late_answer_at_each_step
+    lagging_list_at_each_step
+    misleading_load_at_each_step
+    paused_and_killed_at_each_step
+    config_stale_and_killed_at_each_step
+    silent_and_planned_stop_at_each_step
+    entry_partition_and_late_answer_at_each_step
+    upstream_partition_and_paused_at_each_step
+}
