--- a/crates/anvilhub-coord/tests/matrix/mod.rs
+++ b/crates/anvilhub-coord/tests/matrix/mod.rs
@@ -21,3 +21,6 @@
 pub mod own_answer;
 pub mod true_coverage;
 pub mod true_not_run;
+//! The fault matrix: one file a guarantee, one function a fault.
+
+pub mod config_in_force;
