--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -3,6 +3,12 @@
 mod acceptance_scenarios;
 mod acceptor_search;
 mod answer_gather;
+mod gather_properties;
+mod key_ranges;
+mod matrix;
+mod scenario;
+mod scenario_files;
+mod ticket_search;
 mod fleet;
 mod gossip_spread;
 mod key_ranges;
