--- a/crates/anvilhub-coord/tests/acceptance_scenarios.rs
+++ b/crates/anvilhub-coord/tests/acceptance_scenarios.rs
@@ -1,4 +1,4 @@
-//! Guards against wrong reactions to single faults of the configuration, told as scripts in `scenarios/`.
+//! Guards against wrong reactions to single faults of the configuration, told as scripts in `acceptance/`.
 //!
 //! `REWRITE=1 cargo test -p anvilhub-coord acceptance` writes the observed reactions into the scripts.
 
@@ -12,7 +12,7 @@
 #[test]
 fn scripts() {
     walk(
-        concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios"),
+        concat!(env!("CARGO_MANIFEST_DIR"), "/tests/acceptance"),
         |file| {
             let mut fleet = Fleet::default();
             file.run(|case| {
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -6,7 +6,7 @@
 
 use anvilhub_coord::connection::ConnectionShare;
 use anvilhub_coord::ids::{PlatformRevision, SheetDigest, SlotCount};
-use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy};
+use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy, SlotAllowance};
 use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
 use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::tick;
@@ -144,11 +144,15 @@
         service.spec.route.mode == RouteMode::Direct || shard.owner().is_none()
     }
 
-    /// Slots that this instance may occupy: all of a shard that it owns, its share of others.
+    /// Sub-requests that this instance keeps at the shard's replicas: enough for all slots of a shard that it
+    /// owns, its share of others.
     fn share_of(&self, service: &ServiceRoute, shard: &ShardRoute, usable: SlotCount) -> SlotCount {
         let owns = service.spec.route.mode == RouteMode::Owner && self.is_sender(service, shard);
         match owns {
-            true => usable,
+            true => match shard.usual_latency() {
+                Some(usual) => SlotAllowance::default().of(usable, usual),
+                None => usable,
+            },
             false => SlotCount((usable.get() / self.context.division.load().entries).max(1)),
         }
     }
@@ -257,6 +261,7 @@
         failures: state.view.failures(),
         leaving: state.view.leaving().is_some(),
         ejected: state.view.is_ejected(now),
+        on_trial: state.view.is_on_trial(now),
     })
 }
 
--- a/crates/anvilhubd/src/routes/shard_route.rs
+++ b/crates/anvilhubd/src/routes/shard_route.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Median latency of first attempts.
+    pub(crate) fn usual_latency(&self) -> Option<Duration> {
+        self.latencies.with(|latencies| latencies.quantile(0.5))
+    }
+
     /// Peer address of the instance that queues for the shard, `None` when it is this one.
     pub(crate) fn owner(&self) -> Option<SocketAddr> {
         self.owner.with(|owner| *owner)
