Repair the merged test roots and prove more cells

The roots list each module once, and the scenarios of the fault matrix are in tests/fault_scenarios now.

New scenarios: `config_down` (a replica is replaced while no sheet brings its address), `repartition` and `snapshot_change` for ticketed requests. The fake owner treats an answer that does not cover the key as lost: an upstream that lost the key may still have acted on the request.

--- a/crates/anvilhub-coord/tests/matrix/at_most_once.rs
+++ b/crates/anvilhub-coord/tests/matrix/at_most_once.rs
@@ -9,6 +9,9 @@
 
 cells! {
     JUDGE;
+    snapshot_change_at_each_step
+    repartition_at_each_step
+    config_down_at_each_step
     straggler_shard_at_each_step
     replica_lost_at_each_step
     config_stale_at_each_step
--- a/crates/anvilhub-coord/tests/matrix/mod.rs
+++ b/crates/anvilhub-coord/tests/matrix/mod.rs
@@ -1,6 +1,6 @@
 //! The fault matrix: one module for each guarantee, one test for each fault.
 //!
-//! A test runs the scenarios of its fault (`tests/scenarios/<fault>.txt`) and judges what callers observe by
+//! A test runs the scenarios of its fault (`tests/fault_scenarios/<fault>.txt`) and judges what callers observe by
 //! its guarantee alone.
 
 /// Defines a test for each fault.
@@ -17,14 +17,10 @@
 }
 
 pub mod at_most_once;
+pub mod config_in_force;
+pub mod leaving_upstream;
 pub mod one_snapshot;
 pub mod own_answer;
 pub mod true_coverage;
 pub mod true_not_run;
-//! The fault matrix: one file a guarantee, one function a fault.
-
-pub mod config_in_force;
-//! Guarantees under faults: one file a guarantee, functions named after the faults.
-
-pub mod leaving_upstream;
 pub mod true_not_run_admission;
--- a/crates/anvilhub-coord/tests/matrix/one_snapshot.rs
+++ b/crates/anvilhub-coord/tests/matrix/one_snapshot.rs
@@ -9,6 +9,7 @@
 
 cells! {
     JUDGE;
+    config_down_at_each_step
     straggler_shard_at_each_step
     replica_lost_at_each_step
     repartition_at_each_step
--- a/crates/anvilhub-coord/tests/scenario/mod.rs
+++ b/crates/anvilhub-coord/tests/scenario/mod.rs
@@ -1,4 +1,4 @@
-//! Runs the scenarios of `tests/scenarios/`: a fault at every step of a ticketed request or a fan-out.
+//! Runs the scenarios of `tests/fault_scenarios/`: a fault at every step of a ticketed request or a fan-out.
 //!
 //! A case holds the commands of the fault. Commands after a line `then` are applied at every later step as
 //! well, so that pairs of faults meet in every order. The transcript groups the steps by what was observed.
@@ -125,7 +125,7 @@
 /// history.
 pub fn judge_column(column: &str, judge: HistoryJudge) {
     let path = format!(
-        "{}/tests/scenarios/{column}.txt",
+        "{}/tests/fault_scenarios/{column}.txt",
         env!("CARGO_MANIFEST_DIR")
     );
     let text = std::fs::read_to_string(&path).unwrap_or_else(|error| panic!("{path}: {error}"));
--- a/crates/anvilhub-coord/tests/scenario/request_faults.rs
+++ b/crates/anvilhub-coord/tests/scenario/request_faults.rs
@@ -36,6 +36,7 @@
             ["refuse", replica] => self.replica(replica).refuses = true,
             ["silence", replica] => self.replica(replica).silent = true,
             ["cross"] => self.crossed = true,
+            ["move-key"] => self.moved = true,
             ["double"] => self.doubled = true,
             ["late"] => self.hold_answers(),
             _ => panic!("unknown command `{line}`"),
@@ -67,6 +68,7 @@
         self.replicas = Default::default();
         self.cuts.clear();
         self.crossed = false;
+        self.moved = false;
         let late = self.late.take();
         self.messages.extend(late.unwrap_or_default());
     }
--- a/crates/anvilhub-coord/tests/scenario/request_owner.rs
+++ b/crates/anvilhub-coord/tests/scenario/request_owner.rs
@@ -87,9 +87,14 @@
         if self.crossed {
             answer = sub_answer("other".parse().unwrap());
         }
+        if self.moved {
+            answer.end = answer.start;
+        }
         let mut gather = AnswerGather::new(KeyRange::single(KEY), GatherLimits::default());
         gather.expect(key.request_id(), KeyRange::single(KEY));
-        if gather.accept(&key.request_id(), answer).is_err() {
+        // An upstream that lost the key may still have acted on the request.
+        let accepted = gather.accept(&key.request_id(), answer);
+        if accepted.is_err() || !gather.is_complete() {
             return self.end_try(index, key.number, TryResult::Lost);
         }
         let entry = &mut self.entries[index];
--- a/crates/anvilhub-coord/tests/scenario/request_world.rs
+++ b/crates/anvilhub-coord/tests/scenario/request_world.rs
@@ -72,6 +72,8 @@
     pub(super) late: Option<Vec<Message>>,
     pub(super) cuts: BTreeSet<(Node, Node)>,
     pub(super) crossed: bool,
+    /// The replicas no longer own the key when they answer.
+    pub(super) moved: bool,
     pub(super) doubled: bool,
     pub(super) pause: Duration,
     pub(super) incarnations: u64,
@@ -94,6 +96,7 @@
             late: None,
             cuts: BTreeSet::new(),
             crossed: false,
+            moved: false,
             doubled: false,
             pause: Duration::ZERO,
             incarnations: 0,
--- a/crates/anvilhub-coord/tests/scenario_files.rs
+++ b/crates/anvilhub-coord/tests/scenario_files.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn transcripts_match() {
-    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fault_scenarios");
     datadriven::walk(directory, |file| {
         file.run(|case| {
             let case = ScenarioCase {
