Keep the admission limit at the share of the slots

Change: AdmissionSettings::for_share; twice the share of the slots always may run. Ruled out: this as the cause of the low goodput of owners at the peak, which did not change.

--- a/crates/anvilhub-coord/src/admission/admission_gate.rs
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 
+use crate::ids::SlotCount;
 use crate::routing::{Displaced, UrgencyQueue};
 use crate::sheet::UrgencyClass;
 use crate::time::ClockTime;
@@ -32,6 +33,27 @@
     }
 }
 
+/// Requests per slot of this instance's share that always may run: one uses the slot while the next one is
+/// on its way.
+const LEAST_PER_SLOT: u32 = 2;
+
+impl AdmissionSettings {
+    /// Settings of one of `entries` instances for a service whose smallest shard has `slots`.
+    ///
+    /// The limit never falls below the share of the slots, since delays also grow when other instances or more
+    /// urgent requests use them, and slots would idle.
+    pub fn for_share(slots: SlotCount, entries: u32) -> Self {
+        let share = (slots.get() * LEAST_PER_SLOT)
+            .div_ceil(entries.max(1))
+            .max(2);
+        Self {
+            initial_limit: share,
+            least_limit: share,
+            ..Self::default()
+        }
+    }
+}
+
 /// Why a request was refused as `not_run`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum RefusalReason {
--- a/crates/anvilhub-dev/src/bench/fake_entry.rs
+++ b/crates/anvilhub-dev/src/bench/fake_entry.rs
@@ -68,10 +68,7 @@
             _ => connections(shard) * desk.replicas as u32,
         };
         let slots: Vec<u32> = (0..desk.shards).map(slots).collect();
-        let settings = AdmissionSettings {
-            initial_limit: (shard_slots / entries as u32).max(2),
-            ..AdmissionSettings::default()
-        };
+        let settings = AdmissionSettings::for_share(SlotCount(shard_slots), entries as u32);
         Self {
             domain: rank % 3,
             gate: AdmissionGate::new(settings),
