--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -1,24 +1,32 @@
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use anvilhub_coord::border::platform::{InstanceEntry, InstanceList, InstanceRole, InstanceState};
-use anvilhub_coord::ids::{Incarnation, InstanceId};
+use anvilhub_coord::border::platform::InstanceList;
+use anvilhub_coord::configuration::{ExchangeMessage, PeerIdentity, PeerStage, SheetInput};
+use anvilhub_coord::ids::{Incarnation, InstanceId, ServiceName, ShardName};
+use anvilhub_coord::membership::{MemberState, MemberTable};
+use anvilhub_coord::routing::LeavingSignal;
 use anvilhub_coord::sheet::{CheckedSheet, ReplicaSpec, ShardSpec};
 use anvilhub_coord::ticket::{TicketIdentity, TicketLimits, TicketTable};
+use anvilhub_coord::time::{ClockTime, PauseDetector};
 use arc_swap::{ArcSwap, ArcSwapOption};
+use log::warn;
+use metrics::counter;
 use rand::seq::SliceRandom;
-use tokio::sync::Semaphore;
 
 use crate::DaemonSettings;
 use crate::clock::DaemonClock;
+use crate::controllers::ConfigState;
 use crate::fanout::{OwnerTable, SubRequestIds};
-use crate::lifecycle::StageCell;
+use crate::lifecycle::{LifecycleStage, StageCell};
+use crate::live_fleet::LiveFleet;
 use crate::peer::PeerClients;
 use crate::pool::UpstreamPool;
-use crate::routes::{EntryDivision, RouteStore, RouteTable};
+use crate::routes::{RouteStore, RouteTable};
 use crate::tickets::{TicketService, random_number};
+use tokio::sync::Semaphore;
 
 /// Cancellations on their way to upstreams at once; more are left out.
 const MOST_CANCELS: usize = 64;
@@ -30,14 +38,17 @@
     pub(crate) stage: StageCell,
     pub(crate) sheet: ArcSwapOption<CheckedSheet>,
     pub(crate) instances: ArcSwapOption<InstanceList>,
+    pub(crate) configuration: Arc<ConfigState>,
+    pub(crate) pause: PauseDetector,
+    pub(crate) fleet: ArcSwap<LiveFleet>,
     pub(crate) pool: UpstreamPool,
-    pub(crate) route_store: RouteStore,
-    pub(crate) division: ArcSwap<EntryDivision>,
     pub(crate) peers: PeerClients,
+    pub(crate) tickets: Arc<TicketService>,
+    members: Mutex<MemberTable>,
+    pub(crate) route_store: RouteStore,
     pub(crate) owners: OwnerTable,
     pub(crate) sub_ids: SubRequestIds,
     pub(crate) cancels: Semaphore,
-    pub(crate) tickets: Arc<TicketService>,
     requests: AtomicUsize,
 }
 
@@ -45,22 +56,36 @@
     pub(crate) fn new(settings: DaemonSettings, clock: DaemonClock, stage: StageCell) -> Arc<Self> {
         let pool = UpstreamPool::new(&settings, clock);
         let peers = PeerClients::new(settings.connect_timeout);
-        let tickets = Arc::new(TicketService::new(ticket_table(&settings)));
-        let sub_ids = SubRequestIds::new(&settings.instance, random_number());
+        let incarnation = Incarnation(random_number());
+        let tickets = Arc::new(TicketService::new(ticket_table(&settings, incarnation)));
+        let now = clock.now();
+        let identity = PeerIdentity {
+            instance: settings.instance.clone(),
+            incarnation,
+            peer_address: settings.peer_address,
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let configuration = ConfigState::new(identity, settings.isolated_start_after, now);
+        let members = MemberTable::new(settings.instance.clone(), settings.peers.clone());
+        let pause = PauseDetector::new(settings.pause_limit, now);
+        let sub_ids = SubRequestIds::new(&settings.instance, incarnation.get());
         Arc::new(Self {
             settings,
             clock,
             stage,
             sheet: ArcSwapOption::empty(),
             instances: ArcSwapOption::empty(),
+            configuration: Arc::new(configuration),
+            pause,
+            fleet: ArcSwap::default(),
+            members: Mutex::new(members),
             pool,
-            route_store: RouteStore::new(clock),
-            division: ArcSwap::default(),
             peers,
+            tickets,
+            route_store: RouteStore::new(clock),
             owners: OwnerTable::default(),
             sub_ids,
             cancels: Semaphore::new(MOST_CANCELS),
-            tickets,
             requests: AtomicUsize::new(0),
         })
     }
@@ -71,6 +96,29 @@
         Some(self.route_store.for_sheet(&sheet))
     }
 
+    /// Peer address of the instance that queues for a shard, `None` when it is this one.
+    pub(crate) fn owner_of(&self, service: &ServiceName, shard: &ShardName) -> Option<SocketAddr> {
+        let fleet = self.fleet.load();
+        let owner = fleet.owner(service, shard)?;
+        match *owner == self.settings.instance {
+            true => None,
+            false => self.peer_address_of(owner),
+        }
+    }
+
+    /// Number of instances that may hold connections, leaving ones and this one included, and the place of
+    /// this instance in their sorted list, from zero.
+    pub(crate) fn connection_entries(&self) -> (u32, u32) {
+        let now = self.clock.now();
+        let members = self.members();
+        let others = members
+            .peers()
+            .filter(|peer| members.state(peer, now) != MemberState::Absent);
+        others.fold((1, 0), |(count, rank), peer| {
+            (count + 1, rank + u32::from(*peer < self.settings.instance))
+        })
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> RequestGuard {
         self.requests.fetch_add(1, Ordering::AcqRel);
@@ -81,52 +129,76 @@
         self.requests.load(Ordering::Acquire)
     }
 
-    /// Peer address of another instance, as the instance list has it.
+    /// What is known of the other instances.
+    pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Peer address of another instance.
     pub(crate) fn peer_address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
-        let list = self.instances.load_full()?;
-        let entry = list.instances.iter().find(|entry| entry.id == *instance)?;
-        entry.peer_address.as_ref()?.parse().ok()
+        self.members().address(instance)
     }
 
-    /// How shards, slots and connections are divided, by the present list of instances.
-    pub(crate) fn divide_entries(&self) -> EntryDivision {
-        let own = &self.settings.instance;
-        let Some(list) = self.instances.load_full() else {
-            return EntryDivision::default();
-        };
-        let mut live = BTreeMap::new();
-        let mut leaving = Vec::new();
-        let is_entry = |entry: &&InstanceEntry| entry.role == InstanceRole::Entry;
-        for entry in list.instances.iter().filter(is_entry) {
-            let address = entry.peer_address.as_ref();
-            match (
-                address.and_then(|address| address.parse().ok()),
-                entry.state,
-            ) {
-                (Some(address), InstanceState::Live) if entry.id != *own => {
-                    live.insert(entry.id.clone(), address);
-                }
-                (_, InstanceState::Leaving) => leaving.push(entry.id.clone()),
-                _ => {}
+    /// Peer addresses of the other entry instances that take work.
+    pub(crate) fn live_peers(&self) -> Vec<SocketAddr> {
+        let members = self.members();
+        let live = members.live(self.clock.now());
+        live.filter_map(|peer| members.address(peer)).collect()
+    }
+
+    /// The state to tell a peer.
+    pub(crate) fn exchange_message(&self) -> ExchangeMessage {
+        let routes = self.route_store.table();
+        let draining = routes.map_or_else(Vec::new, |routes| routes.seen_leaving());
+        self.configuration.message(self.is_draining(), draining)
+    }
+
+    /// Takes the state that a peer told, in answer to an exchange sent at `sent_at` or by itself.
+    pub(crate) fn hear_peer(&self, message: ExchangeMessage, sent_at: Option<ClockTime>) {
+        let is_draining = message.stage == PeerStage::Draining;
+        self.members()
+            .observe_answer(&message.sender, is_draining, self.clock.now());
+        if let Some(routes) = self.route_store.table() {
+            for upstream in &message.draining {
+                routes.mark_leaving(upstream, LeavingSignal::Peer);
             }
         }
-        EntryDivision::new(own, !leaving.contains(own), live, leaving.clone())
+        self.configuration
+            .observe(SheetInput::PeerMessage { message, sent_at });
     }
 
-    /// Peer addresses of the other entry instances that are not leaving.
-    pub(crate) fn live_peers(&self) -> Vec<SocketAddr> {
-        let Some(list) = self.instances.load_full() else {
-            return Vec::new();
-        };
-        let is_peer = |entry: &&InstanceEntry| {
-            entry.role == InstanceRole::Entry
-                && entry.state == InstanceState::Live
-                && entry.id != self.settings.instance
-        };
-        let peers = list.instances.iter().filter(is_peer);
-        peers
-            .filter_map(|entry| entry.peer_address.as_ref()?.parse().ok())
-            .collect()
+    pub(crate) fn is_draining(&self) -> bool {
+        self.stage.get() == LifecycleStage::Draining
+    }
+
+    /// Notes that the process was paused: nothing believed before it is used until it is confirmed again.
+    pub(crate) fn note_pause(&self, pause: Duration) {
+        warn!(pause_ms = pause.as_millis() as u64; "the process was paused; confirming its state again");
+        counter!("anvilhub_pauses_total").increment(1);
+        self.configuration.set_ready(false);
+        self.pool.doubt_all();
+        self.configuration.observe(SheetInput::Resumed);
+    }
+
+    /// Waits until the sheet in force may be used, for at most half of the time until `deadline`. Detects a
+    /// pause itself, because this thread may resume before the one that beats.
+    pub(crate) async fn confirm_sheet(&self, deadline: ClockTime) -> bool {
+        let now = self.clock.now();
+        if let Some(pause) = self.pause.check(now) {
+            self.note_pause(pause);
+        }
+        self.configuration.is_ready()
+            || self.configuration.wait_ready(deadline.since(now) / 2).await
+    }
+
+    /// Says whether the process was paused after `time`.
+    pub(crate) fn was_paused_since(&self, time: ClockTime) -> bool {
+        if let Some(pause) = self.pause.check(self.clock.now()) {
+            self.note_pause(pause);
+        }
+        self.pause
+            .resumed_at()
+            .is_some_and(|resumed_at| resumed_at > time)
     }
 
     /// Replicas of a shard in the order in which to try them: own failure domain first, then at random.
@@ -138,11 +210,11 @@
     }
 }
 
-fn ticket_table(settings: &DaemonSettings) -> TicketTable {
+fn ticket_table(settings: &DaemonSettings, incarnation: Incarnation) -> TicketTable {
     let identity = TicketIdentity {
         instance: settings.instance.clone(),
         address: settings.peer_address,
-        incarnation: Incarnation(random_number()),
+        incarnation,
     };
     let limits = TicketLimits {
         lifetime: settings.ticket_lifetime,
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
+use crate::live_fleet::LiveFleet;
 use crate::pool::{LinkPlan, PoolError};
 use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
@@ -42,8 +43,25 @@
     context: Arc<EntryContext>,
     runtime: Handle,
     polls: Arc<Semaphore>,
-    /// Instance list and sheet that the present division follows.
-    divided: Option<(Option<PlatformRevision>, SheetDigest)>,
+    divided: Option<DivisionBasis>,
+    /// Instances that may hold connections, and the place of this one among them.
+    entries: (u32, u32),
+}
+
+/// What the present owners and leaving upstreams follow from.
+#[derive(Clone)]
+struct DivisionBasis {
+    list: Option<PlatformRevision>,
+    fleet: Arc<LiveFleet>,
+    sheet: SheetDigest,
+}
+
+impl PartialEq for DivisionBasis {
+    fn eq(&self, other: &Self) -> bool {
+        self.list == other.list
+            && Arc::ptr_eq(&self.fleet, &other.fleet)
+            && self.sheet == other.sheet
+    }
 }
 
 impl UpstreamController {
@@ -53,6 +71,7 @@
             runtime,
             polls: Arc::new(Semaphore::new(MOST_POLLS)),
             divided: None,
+            entries: (1, 0),
         }
     }
 
@@ -77,6 +96,7 @@
     fn round(&mut self, routes: &RouteTable) {
         let now = self.context.clock.now();
         self.divide(routes);
+        self.entries = self.context.connection_entries();
         let mut plans = HashMap::new();
         let mut silence = HashMap::new();
         for service in routes.services.values() {
@@ -103,11 +123,15 @@
     /// Follows the list of instances and the sheet: who owns each shard, and which upstreams are leaving.
     fn divide(&mut self, routes: &RouteTable) {
         let list = self.context.instances.load_full();
-        let state = Some((list.as_ref().map(|list| list.revision), routes.digest));
-        if self.divided == state {
+        let basis = DivisionBasis {
+            list: list.as_ref().map(|list| list.revision),
+            fleet: self.context.fleet.load_full(),
+            sheet: routes.digest,
+        };
+        if self.divided.as_ref() == Some(&basis) {
             return;
         }
-        self.divided = state;
+        self.divided = Some(basis);
         let is_leaving = |entry: &&InstanceEntry| {
             entry.role == InstanceRole::Upstream && entry.state == InstanceState::Leaving
         };
@@ -121,13 +145,11 @@
                 upstream.mark_leaving(LeavingSignal::List);
             }
         }
-        let division = Arc::new(self.context.divide_entries());
         for service in routes.services.values() {
             for shard in &service.shards {
-                shard.set_owner(division.owner_of(&service.spec.name, &shard.name));
+                shard.set_owner(self.context.owner_of(&service.spec.name, &shard.name));
             }
         }
-        self.context.division.store(division);
     }
 
     fn advance(&self, service: &ServiceRoute, now: ClockTime) {
@@ -158,7 +180,7 @@
         let owns = service.spec.route.mode == RouteMode::Owner && self.is_sender(service, shard);
         match owns {
             true => usable,
-            false => SlotCount((usable.get() / self.context.division.load().entries).max(1)),
+            false => SlotCount((usable.get() / self.context.fleet.load().len()).max(1)),
         }
     }
 
@@ -168,9 +190,9 @@
         shard: &ShardRoute,
         upstream: &UpstreamRoute,
     ) -> LinkPlan {
-        let entries = self.context.division.load();
-        let division = ConnectionShare::new(entries.entries);
-        let (limit, rank) = (upstream.spec.connections, entries.rank);
+        let (entries, rank) = self.entries;
+        let division = ConnectionShare::new(entries);
+        let limit = upstream.spec.connections;
         let sends = self.is_sender(service, shard);
         let share = match (service.spec.route.mode, sends) {
             (RouteMode::Direct, _) => division.direct(limit, rank),
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -9,6 +9,7 @@
 mod fanout;
 mod filters;
 mod lifecycle;
+mod live_fleet;
 mod logging;
 mod operator;
 mod peer;
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
-use anvilhub_coord::border::operator::{SheetState, StateReport};
+use anvilhub_coord::border::operator::{PeerState, SheetState, StateReport};
+use anvilhub_coord::ids::InstanceId;
+use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::Sender;
 use eyre::{Result, WrapErr};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -10,7 +12,7 @@
 use serde::Serialize;
 
 use crate::context::EntryContext;
-use crate::fanout::{explain_route, upstream_states};
+use crate::fanout::{explain, upstream_states};
 use crate::lifecycle::LifecycleStage;
 
 /// Most operator connections at once.
@@ -66,11 +68,14 @@
 
     fn ready(&self) -> Response<Body> {
         let stage = self.context.stage.get();
-        let status = match stage {
-            LifecycleStage::Ready => StatusCode::OK,
-            _ => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        text(status, format!("{stage}\n"))
+        match (stage, self.context.configuration.is_ready()) {
+            (LifecycleStage::Ready, true) => text(StatusCode::OK, "ready\n".to_owned()),
+            (LifecycleStage::Ready, false) => text(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "confirming the sheet\n".to_owned(),
+            ),
+            _ => text(StatusCode::SERVICE_UNAVAILABLE, format!("{stage}\n")),
+        }
     }
 
     fn state(&self) -> Response<Body> {
@@ -86,27 +91,26 @@
             }),
             requests_in_flight: self.context.requests_in_flight() as u64,
             tickets: self.context.tickets.drain_report(now).owned() as u64,
-            peers: Vec::new(),
+            peers: self.peers(now),
             upstreams: upstream_states(&self.context),
-            alarms: Vec::new(),
+            alarms: self.context.configuration.alarms(),
         })
     }
 
-    /// Explains a route; `query` is `service=NAME` or `service=NAME&key=N`.
-    fn explain(&self, query: &str) -> Response<Body> {
-        let field = |name: &str| {
-            let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-            fields
-                .find(|(found, _)| *found == name)
-                .map(|(_, value)| value)
+    fn explain(&self, parameters: &str) -> Response<Body> {
+        let value = |name: &str| {
+            let mut pairs = parameters
+                .split('&')
+                .filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
-        let key = field("key").map(str::parse).transpose();
-        let service = field("service").and_then(|service| service.parse().ok());
-        let (Some(service), Ok(key)) = (service, key) else {
-            let remedy = "name a service and perhaps a key: /explain?service=NAME&key=N\n";
-            return text(StatusCode::BAD_REQUEST, remedy.to_owned());
+        let service = value("service").and_then(|service| service.parse().ok());
+        let key = value("key").map(str::parse);
+        let (Some(service), Ok(key)) = (service, key.transpose()) else {
+            let usage = "use /explain?service=NAME, with &key=N for a single key\n";
+            return text(StatusCode::BAD_REQUEST, usage.to_owned());
         };
-        match explain_route(&self.context, &service, key) {
+        match explain(&self.context, &service, key) {
             Some(report) => json(&report),
             None => text(
                 StatusCode::NOT_FOUND,
@@ -115,6 +119,17 @@
         }
     }
 
+    fn peers(&self, now: ClockTime) -> Vec<PeerState> {
+        let members = self.context.members();
+        let state = |peer: &InstanceId| PeerState {
+            instance: peer.clone(),
+            address: members.address(peer).map(|address| address.to_string()),
+            state: members.state(peer, now).to_string(),
+            sheet: None,
+        };
+        members.peers().map(state).collect()
+    }
+
     fn start_drain(&self) -> Response<Body> {
         // A full channel means that a drain is under way.
         let _ = self.drain.try_send(());
--- a/crates/anvilhubd/src/pool/upstream_pool.rs
+++ b/crates/anvilhubd/src/pool/upstream_pool.rs
@@ -98,7 +98,6 @@
     }
 
     /// Makes idle connections suspect, such as after a pause of this process.
-    #[allow(dead_code, reason = "called by the pause controller")]
     pub(crate) fn doubt_all(&self) {
         for link in self.links() {
             link.doubt();
--- a/crates/anvilhubd/src/routes/route_table.rs
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -42,7 +42,6 @@
     }
 
     /// Marks an upstream as leaving, such as by the instance list or a peer.
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn mark_leaving(&self, id: &UpstreamId, signal: LeavingSignal) {
         let upstreams = self.upstreams();
         for upstream in upstreams.filter(|upstream| upstream.spec.id == *id) {
@@ -50,11 +49,13 @@
         }
     }
 
-    /// Upstreams that are leaving, with the first signal of each.
-    #[allow(dead_code, reason = "called by the members controller")]
-    pub(crate) fn leaving(&self) -> Vec<(UpstreamId, LeavingSignal)> {
+    /// Upstreams that told this instance themselves that they are leaving.
+    pub(crate) fn seen_leaving(&self) -> Vec<UpstreamId> {
+        let is_direct =
+            |signal: LeavingSignal| !matches!(signal, LeavingSignal::List | LeavingSignal::Peer);
         self.upstreams()
-            .filter_map(|upstream| Some((upstream.spec.id.clone(), upstream.leaving()?)))
+            .filter(|upstream| upstream.leaving().is_some_and(is_direct))
+            .map(|upstream| upstream.spec.id.clone())
             .collect()
     }
 }
