--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,10 +1,17 @@
 //! Tests of the coordination library, one file a feature.
 
+mod acceptance_scenarios;
+mod acceptor_search;
 mod answer_gather;
+mod gather_properties;
+mod key_ranges;
+mod matrix;
+mod scenario;
+mod scenario_files;
+mod ticket_search;
 mod fleet;
 mod gossip_spread;
 mod key_ranges;
-mod key_ranges;
 mod matrix;
 mod member_table;
 mod pause_detection;
@@ -15,3 +22,16 @@
 mod sheet_fuzz;
 mod sheets;
 mod ticket_table;
+mod admission_gate;
+mod attempt_rule;
+mod connection_ledger;
+mod connection_share;
+mod ejection_policy;
+mod hedge_policy;
+mod key_ranges;
+mod matrix;
+mod owner_health;
+mod replica_picker;
+mod retry_budget;
+mod slot_queue;
+mod upstream_view;
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -1,13 +1,12 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use anvilhub_coord::border::platform::{InstanceEntry, InstanceRole, InstanceState};
 use anvilhub_coord::connection::ConnectionShare;
 use anvilhub_coord::ids::{PlatformRevision, SheetDigest, SlotCount};
-use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy, LeavingSignal};
+use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy};
 use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
 use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::tick;
@@ -19,8 +18,8 @@
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
-use crate::live_fleet::LiveFleet;
 use crate::pool::{LinkPlan, PoolError};
+use crate::routes::leaving_news;
 use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
 /// Time between two rounds: queues are advanced a few times per second at least.
@@ -43,25 +42,8 @@
     context: Arc<EntryContext>,
     runtime: Handle,
     polls: Arc<Semaphore>,
-    divided: Option<DivisionBasis>,
-    /// Instances that may hold connections, and the place of this one among them.
-    entries: (u32, u32),
-}
-
-/// What the present owners and leaving upstreams follow from.
-#[derive(Clone)]
-struct DivisionBasis {
-    list: Option<PlatformRevision>,
-    fleet: Arc<LiveFleet>,
-    sheet: SheetDigest,
-}
-
-impl PartialEq for DivisionBasis {
-    fn eq(&self, other: &Self) -> bool {
-        self.list == other.list
-            && Arc::ptr_eq(&self.fleet, &other.fleet)
-            && self.sheet == other.sheet
-    }
+    /// Division, instance list and sheet that the routes follow.
+    divided: Option<(usize, Option<PlatformRevision>, SheetDigest)>,
 }
 
 impl UpstreamController {
@@ -71,7 +53,6 @@
             runtime,
             polls: Arc::new(Semaphore::new(MOST_POLLS)),
             divided: None,
-            entries: (1, 0),
         }
     }
 
@@ -96,7 +77,6 @@
     fn round(&mut self, routes: &RouteTable) {
         let now = self.context.clock.now();
         self.divide(routes);
-        self.entries = self.context.connection_entries();
         let mut plans = HashMap::new();
         let mut silence = HashMap::new();
         for service in routes.services.values() {
@@ -120,34 +100,23 @@
         self.context.pool.maintain(limit);
     }
 
-    /// Follows the list of instances and the sheet: who owns each shard, and which upstreams are leaving.
+    /// Follows the live instances and the sheet: who owns each shard, and which upstreams the list names as
+    /// leaving.
     fn divide(&mut self, routes: &RouteTable) {
         let list = self.context.instances.load_full();
-        let basis = DivisionBasis {
-            list: list.as_ref().map(|list| list.revision),
-            fleet: self.context.fleet.load_full(),
-            sheet: routes.digest,
-        };
-        if self.divided.as_ref() == Some(&basis) {
+        let division = self.context.division.load_full();
+        let revision = list.as_ref().map(|list| list.revision);
+        let state = Some((Arc::as_ptr(&division) as usize, revision, routes.digest));
+        if self.divided == state {
             return;
         }
-        self.divided = Some(basis);
-        let is_leaving = |entry: &&InstanceEntry| {
-            entry.role == InstanceRole::Upstream && entry.state == InstanceState::Leaving
-        };
-        let entries = list.iter().flat_map(|list| &list.instances);
-        let leaving: HashSet<&str> = entries
-            .filter(is_leaving)
-            .map(|entry| entry.id.as_str())
-            .collect();
-        for upstream in routes.upstreams() {
-            if leaving.contains(upstream.spec.id.as_str()) {
-                upstream.mark_leaving(LeavingSignal::List);
-            }
+        self.divided = state;
+        if let Some(list) = list {
+            leaving_news::mark_listed(routes, &list);
         }
         for service in routes.services.values() {
             for shard in &service.shards {
-                shard.set_owner(self.context.owner_of(&service.spec.name, &shard.name));
+                shard.set_owner(division.owner_of(&service.spec.name, &shard.name));
             }
         }
     }
@@ -180,7 +149,7 @@
         let owns = service.spec.route.mode == RouteMode::Owner && self.is_sender(service, shard);
         match owns {
             true => usable,
-            false => SlotCount((usable.get() / self.context.fleet.load().len()).max(1)),
+            false => SlotCount((usable.get() / self.context.division.load().entries).max(1)),
         }
     }
 
@@ -190,9 +159,9 @@
         shard: &ShardRoute,
         upstream: &UpstreamRoute,
     ) -> LinkPlan {
-        let (entries, rank) = self.entries;
-        let division = ConnectionShare::new(entries);
-        let limit = upstream.spec.connections;
+        let entries = self.context.division.load();
+        let division = ConnectionShare::new(entries.entries);
+        let (limit, rank) = (upstream.spec.connections, entries.rank);
         let sends = self.is_sender(service, shard);
         let share = match (service.spec.route.mode, sends) {
             (RouteMode::Direct, _) => division.direct(limit, rank),
@@ -288,6 +257,7 @@
         failures: state.view.failures(),
         leaving: state.view.leaving().is_some(),
         ejected: state.view.is_ejected(now),
+        on_trial: state.view.is_on_trial(now),
     })
 }
 
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -4,7 +4,6 @@
 use anvilhub_coord::ticket::TicketRefusal;
 use derive_more::{Display, Error};
 use hyper::StatusCode;
-use std::time::Duration;
 
 /// Why a request was refused or failed.
 #[derive(Clone, Debug, Display, Error, PartialEq)]
@@ -30,6 +29,12 @@
     UnknownKey { key: u64 },
     #[display("the instance has no confirmed sheet in force")]
     NotReady,
+    #[display("service `{service}` did not admit the request: {reason}, {wait_ms} ms to wait")]
+    NotAdmitted {
+        service: ServiceName,
+        reason: RefusalReason,
+        wait_ms: u64,
+    },
     #[display("a non-idempotent request to service `{service}` names no key")]
     KeyMissing { service: ServiceName },
     #[display("a non-idempotent request needs a ticket")]
@@ -40,13 +45,6 @@
     BadTicket { reason: String },
     #[display("{refusal}")]
     TicketRefused { refusal: TicketRefusal },
-    #[display("service `{service}` did not admit the request: {reason}")]
-    NotAdmitted {
-        service: ServiceName,
-        #[error(not(source))]
-        reason: RefusalReason,
-        estimated_wait: Duration,
-    },
 }
 
 impl RequestError {
@@ -83,16 +81,16 @@
             Self::DeadlineExpired { .. } => "deadline_expired",
             Self::UnknownKey { .. } => "unknown_key",
             Self::NotReady => "not_ready",
-            Self::KeyMissing { .. } => "key_missing",
-            Self::TicketRequired { .. } => "ticket_required",
-            Self::BadTicket { .. } => "bad_ticket",
-            Self::NoTicket { refusal } | Self::TicketRefused { refusal } => refusal.code(),
             Self::NotAdmitted { reason, .. } => match reason {
                 RefusalReason::TooLate => "too_late",
                 RefusalReason::Expired => "expired",
                 RefusalReason::QueueFull => "queue_full",
                 RefusalReason::Shed => "shed",
             },
+            Self::KeyMissing { .. } => "key_missing",
+            Self::TicketRequired { .. } => "ticket_required",
+            Self::BadTicket { .. } => "bad_ticket",
+            Self::NoTicket { refusal } | Self::TicketRefused { refusal } => refusal.code(),
         }
     }
 
@@ -106,14 +104,6 @@
         }
     }
 
-    /// Whole seconds after which another try may be admitted.
-    pub(crate) fn retry_after(&self) -> Option<u64> {
-        match self {
-            Self::NotAdmitted { estimated_wait, .. } => Some(estimated_wait.as_secs() + 1),
-            _ => None,
-        }
-    }
-
     fn remedy(&self) -> &'static str {
         match self {
             Self::UnknownPath { .. } => "send queries to POST /v1/query",
@@ -125,11 +115,6 @@
             Self::DeadlineExpired { .. } => "send the request with more time",
             Self::UnknownKey { .. } => "use a key from 0 to 4294967295",
             Self::NotReady => "send the request to an instance that is ready",
-            Self::KeyMissing { .. } => "add the field `key`",
-            Self::TicketRequired { .. } => "send the request again with the ticket of this answer",
-            Self::NoTicket { .. } => "send the request to another instance",
-            Self::BadTicket { .. } => "send the ticket unchanged",
-            Self::TicketRefused { .. } => "look up the effect before repeating the request",
             Self::NotAdmitted { reason, .. } => match reason {
                 RefusalReason::TooLate | RefusalReason::Expired => {
                     "wait as `Retry-After` says, or send the request with more time"
@@ -138,6 +123,11 @@
                     "wait as `Retry-After` says, or send the request with a higher urgency"
                 }
             },
+            Self::KeyMissing { .. } => "add the field `key`",
+            Self::TicketRequired { .. } => "send the request again with the ticket of this answer",
+            Self::NoTicket { .. } => "send the request to another instance",
+            Self::BadTicket { .. } => "send the ticket unchanged",
+            Self::TicketRefused { .. } => "look up the effect before repeating the request",
         }
     }
 
--- a/crates/anvilhubd/src/routes/mod.rs
+++ b/crates/anvilhubd/src/routes/mod.rs
@@ -1,5 +1,7 @@
 //! State of the routes that the sheet in force gives: services, shards and upstreams.
 
+mod entry_division;
+pub(crate) mod leaving_news;
 mod route_cell;
 mod route_store;
 mod route_table;
@@ -8,6 +10,7 @@
 mod shard_route;
 mod upstream_route;
 
+pub(crate) use entry_division::EntryDivision;
 pub(crate) use route_cell::RouteCell;
 pub(crate) use route_store::RouteStore;
 pub(crate) use route_table::RouteTable;
--- a/crates/anvilhubd/src/routes/route_table.rs
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -49,13 +49,10 @@
         }
     }
 
-    /// Upstreams that told this instance themselves that they are leaving.
-    pub(crate) fn seen_leaving(&self) -> Vec<UpstreamId> {
-        let is_direct =
-            |signal: LeavingSignal| !matches!(signal, LeavingSignal::List | LeavingSignal::Peer);
+    /// Upstreams that are leaving, with the first signal of each.
+    pub(crate) fn leaving(&self) -> Vec<(UpstreamId, LeavingSignal)> {
         self.upstreams()
-            .filter(|upstream| upstream.leaving().is_some_and(is_direct))
-            .map(|upstream| upstream.spec.id.clone())
+            .filter_map(|upstream| Some((upstream.spec.id.clone(), upstream.leaving()?)))
             .collect()
     }
 }
--- a/crates/anvilhubd/tests/silent_connections.rs
+++ b/crates/anvilhubd/tests/silent_connections.rs
@@ -1,5 +1,7 @@
 //! Guards against requests that are lost on connections which something in between forgot.
 
+use serde_json::json;
+
 use crate::fixture::{FakeUpstream, TestEntry, eventually, service, shard};
 
 #[test]
@@ -28,16 +30,13 @@
 #[test]
 fn removed_upstream_is_left() {
     let stays = FakeUpstream::sound();
-    let also = FakeUpstream::sound();
     let goes = FakeUpstream::sound();
-    // A sheet that removes half of the upstreams would need a confirmation.
-    let replicas = [&stays, &also, &goes];
-    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &replicas)]));
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&stays, &goes])]));
     eventually("connections are warm", || goes.connections().0 >= 2);
 
-    entry
-        .platform
-        .publish(&service(2, "direct", vec![shard(0, 1, &replicas[..2])]));
+    let mut sheet = service(2, "direct", vec![shard(0, 1, &[&stays])]);
+    sheet["confirm_removals"] = json!(["stock"]);
+    entry.platform.publish(&sheet);
 
     eventually("its connections are closed", || {
         let (opened, closed) = goes.connections();
