Answer unchanged watches with 304 and pick ports without listening

Cause: a watch that saw no change sent the whole value again every ten seconds, which no control budget allows. A process test failed once in some ten runs: `upstreams ended: exit status 1`, its port in use.

Change: a watch whose visible revision is the one asked about gets status 304; one that asks for a later revision than is visible still gets the older value, so that readers see a platform that went backward. Addresses are tried by connecting. The former trial by listening left the listener for a moment in a child that another test started meanwhile. `pause` waits until all threads of a child stand still. `anvilhub-standin call` sends a command, for scripts on machines without an HTTP tool.

Ruled out: a retry of the bind in the stand-ins, which would hide a real conflict and does not help the daemon.

--- a/crates/anvilhub-dev/src/bin/anvilhub-standin.rs
+++ b/crates/anvilhub-dev/src/bin/anvilhub-standin.rs
@@ -1,4 +1,4 @@
-//! Runs a stand-in of the platform, of the upstreams of a sheet, or of the network between two processes.
+//! Runs a stand-in: of the platform, of the upstreams of a sheet, or of the network between two processes.
 
 use std::fs;
 use std::net::SocketAddr;
@@ -6,13 +6,15 @@
 
 use anvilhub_coord::border::platform::InstanceEntry;
 use anvilhub_coord::sheet::CheckedSheet;
+use anvilhub_dev::process::HttpCall;
 use anvilhub_dev::standin::platform::{PlatformCommand, PlatformServer};
 use anvilhub_dev::standin::relay::{RelayCommand, RelayServer};
 use anvilhub_dev::standin::upstream::{FleetCommand, UpstreamFleet};
-use eyre::{Result, WrapErr, bail, eyre};
+use eyre::{Result, WrapErr, bail, ensure, eyre};
 use lexopt::{Arg, Parser, ValueExt};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 const HELP: &str = "\
 Stand-ins for tests of anvilhub. Each listens until it is killed.
@@ -23,6 +25,8 @@
     Starts every replica of the sheet. The control address serves /control, /effects and /requests.
 anvilhub-standin relay --listen IP:PORT --to IP:PORT [--control IP:PORT] [--command JSON]..
     Passes TCP connections on. The control address serves /control and /links.
+anvilhub-standin call --to IP:PORT --path PATH [--command JSON]
+    Reads PATH of a program, or posts JSON to it, prints the answer and fails unless its status is 200.
 
 --command JSON   applies the body of a POST /control at the start
 --help           prints this text
@@ -38,6 +42,7 @@
     listen: Option<SocketAddr>,
     control: Option<SocketAddr>,
     to: Option<SocketAddr>,
+    path: Option<String>,
     sheet: Option<PathBuf>,
     instances: Option<PathBuf>,
     threads: Option<usize>,
@@ -61,6 +66,7 @@
         Some("platform") => run_platform(&arguments),
         Some("upstreams") => run_upstreams(&arguments),
         Some("relay") => run_relay(&arguments),
+        Some("call") => call(&arguments),
         Some(other) => bail!("unknown stand-in `{other}`; see --help"),
         None => bail!("no stand-in is named; see --help"),
     }
@@ -75,6 +81,7 @@
                 Arg::Long("listen") => arguments.listen = Some(parser.value()?.parse()?),
                 Arg::Long("control") => arguments.control = Some(parser.value()?.parse()?),
                 Arg::Long("to") => arguments.to = Some(parser.value()?.parse()?),
+                Arg::Long("path") => arguments.path = Some(parser.value()?.string()?),
                 Arg::Long("sheet") => arguments.sheet = Some(parser.value()?.into()),
                 Arg::Long("instances") => arguments.instances = Some(parser.value()?.into()),
                 Arg::Long("threads") => arguments.threads = Some(parser.value()?.parse()?),
@@ -163,6 +170,20 @@
         .map_err(|_| eyre!("the thread that accepts connections panicked"))
 }
 
+fn call(arguments: &StandinArguments) -> Result<()> {
+    let target = required(arguments.to, "--to")?;
+    let path = required(arguments.path.clone(), "--path")?;
+    let call = HttpCall::to(target);
+    let (status, body) = match arguments.commands::<Value>()?.as_slice() {
+        [] => call.get(&path)?,
+        [command] => call.post(&path, command)?,
+        _ => bail!("call takes one --command"),
+    };
+    println!("{}", String::from_utf8_lossy(&body));
+    ensure!(status == 200, "{target}{path} answered {status}");
+    Ok(())
+}
+
 fn required<T>(value: Option<T>, name: &str) -> Result<T> {
     value.ok_or_else(|| eyre!("{name} is missing; see --help"))
 }
--- a/crates/anvilhub-dev/src/process/child_process.rs
+++ b/crates/anvilhub-dev/src/process/child_process.rs
@@ -4,11 +4,14 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 
 use eyre::{Result, WrapErr, eyre};
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, WaitId, WaitIdOptions, kill_process, waitid};
 
 use super::program_file::program_file;
 use super::{ProcessSignal, ScratchFolder, wait_until};
 
+/// Lines of output that an error shows.
+const SHOWN_LINES: usize = 12;
+
 /// A program of this repository that runs as a child of the test. It is killed when the value is dropped.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -58,8 +61,12 @@
         });
         match ended {
             Ok(None) => Ok(()),
-            Ok(Some(ended)) => Err(eyre!("{} ended: {ended:?}\n{}", self.name, self.output())),
-            Err(error) => Err(error.wrap_err(self.output())),
+            Ok(Some(ended)) => Err(eyre!(
+                "{} ended: {ended:?}\n{}",
+                self.name,
+                self.last_output()
+            )),
+            Err(error) => Err(error.wrap_err(self.last_output())),
         }
     }
 
@@ -73,6 +80,19 @@
             .wrap_err_with(|| format!("cannot signal {}", self.name))
     }
 
+    /// Pauses the process, and returns when all its threads stand still.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn pause(&self) -> Result<()> {
+        self.signal(ProcessSignal::Stop)?;
+        let pid = Pid::from_child(&self.child);
+        waitid(WaitId::Pid(pid), WaitIdOptions::STOPPED)
+            .wrap_err_with(|| format!("{} did not stop", self.name))?;
+        Ok(())
+    }
+
     /// Waits until the process ends by itself.
     ///
     /// # Errors
@@ -81,7 +101,7 @@
     pub fn wait_exit(&mut self) -> Result<ExitStatus> {
         let what = format!("the end of {}", self.name);
         let exit = wait_until(&what, || self.child.try_wait().transpose());
-        Ok(exit.wrap_err_with(|| self.output())??)
+        Ok(exit.wrap_err_with(|| self.last_output())??)
     }
 
     /// Ends the process at once, as a crash of its machine would.
@@ -99,6 +119,13 @@
     pub fn output(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
+
+    fn last_output(&self) -> String {
+        let output = self.output();
+        let lines: Vec<_> = output.lines().collect();
+        let surplus = lines.len().saturating_sub(SHOWN_LINES);
+        lines[surplus..].join("\n")
+    }
 }
 
 impl Drop for ChildProcess {
--- a/crates/anvilhub-dev/src/process/entry_process.rs
+++ b/crates/anvilhub-dev/src/process/entry_process.rs
@@ -119,6 +119,6 @@
 
     /// The version of the sheet in force, if there is one.
     pub fn sheet_version(&self) -> Option<u64> {
-        self.state().ok()?.get("sheet_version")?.as_u64()
+        self.state().ok()?.pointer("/sheet/version")?.as_u64()
     }
 }
--- a/crates/anvilhub-dev/src/process/loopback_block.rs
+++ b/crates/anvilhub-dev/src/process/loopback_block.rs
@@ -1,4 +1,4 @@
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::process;
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -30,6 +30,9 @@
 
     /// The next free address.
     ///
+    /// It is tried with a connection. A listener in this process would be inherited by a child that another
+    /// test starts at the same time, and would hold the port until that child has loaded its program.
+    ///
     /// # Errors
     ///
     /// Fails when no port is free.
@@ -37,7 +40,7 @@
         (0..MAX_TRIES)
             .map(|_| NEXT_PORT.fetch_add(1, Ordering::Relaxed))
             .map(|port| SocketAddr::from((self.ip, port)))
-            .find(|address| TcpListener::bind(address).is_ok())
+            .find(|address| TcpStream::connect(address).is_err())
             .ok_or_else(|| eyre!("no port of {} is free", self.ip))
     }
 }
--- a/crates/anvilhub-dev/src/standin/platform/platform_server.rs
+++ b/crates/anvilhub-dev/src/standin/platform/platform_server.rs
@@ -7,6 +7,7 @@
 use eyre::{Result, WrapErr, ensure};
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
 use oxhttp::{ListeningServer, Server};
+use serde::Serialize;
 
 use super::call_limiter::CallLimiter;
 use super::watched_value::WatchedValue;
@@ -126,24 +127,36 @@
         match path {
             "/config/sheet" => {
                 let (revision, value) = read_value(&self.sheet, after, wait);
-                self.answer(&ConfigValue { revision, value })
+                self.answer(revision, after, &ConfigValue { revision, value })
             }
             _ => {
                 let (revision, instances) = read_value(&self.instances, after, wait);
-                self.answer(&InstanceList {
+                let list = InstanceList {
                     revision,
                     instances,
-                })
+                };
+                self.answer(revision, after, &list)
             }
         }
     }
 
-    /// Answers unless the platform went down while the call waited.
-    fn answer(&self, value: &impl serde::Serialize) -> Response<Body> {
+    /// Answers unless the platform went down while the call waited. A watch that saw no change gets
+    /// status 304; one that asked for a later revision than is visible gets the older value.
+    fn answer(
+        &self,
+        revision: PlatformRevision,
+        after: Option<PlatformRevision>,
+        value: &impl Serialize,
+    ) -> Response<Body> {
         match self.wait_while_hung() {
             DownMode::Refuse => {
                 error_reply(StatusCode::SERVICE_UNAVAILABLE, "the platform is down")
             }
+            DownMode::No | DownMode::Hang if after == Some(revision) => {
+                let mut unchanged = Response::new(Body::empty());
+                *unchanged.status_mut() = StatusCode::NOT_MODIFIED;
+                unchanged
+            }
             DownMode::No | DownMode::Hang => json_reply(StatusCode::OK, value),
         }
     }
--- a/crates/anvilhub-dev/tests/standin/platform_reads.rs
+++ b/crates/anvilhub-dev/tests/standin/platform_reads.rs
@@ -92,6 +92,8 @@
         ..PlatformCommand::default()
     })?;
     let stale: ConfigValue = call.get_json("/config/sheet")?;
+    let unchanged = call.get("/config/sheet?after=1&wait_ms=1")?;
+    let backward: ConfigValue = call.get_json("/config/sheet?after=2&wait_ms=1")?;
     platform.control(&PlatformCommand {
         serve_sheet_revision: Some(PlatformRevision(0)),
         ..PlatformCommand::default()
@@ -99,6 +101,8 @@
     let fresh: ConfigValue = call.get_json("/config/sheet")?;
 
     assert_eq!([stale.value, fresh.value], ["first", "second"]);
+    assert_eq!(unchanged, (304, Vec::new()));
+    assert_eq!(backward.revision, PlatformRevision(1));
     Ok(())
 }
 
