Add failure runs with real processes

Cause: the guarantees were shown only in pure code; pauses, kills and silent connections of real processes were not tried.

Change: `tests/matrix/<guarantee>.rs` has a function for each fault. Bookings are compared with the effects that the upstreams counted.

Ruled out: the planned stops of an entry under load and with a booking in flight.

--- /dev/null
+++ b/crates/anvilhub-dev/tests/matrix/at_most_once.rs
@@ -0,0 +1,156 @@
+//! Guards against a booking that takes effect twice, and against an outcome that contradicts its effects.
+
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome};
+use anvilhub_dev::process::{ProcessSignal, QueryCall, TestTier, wait_until};
+use eyre::Result;
+use serde_json::json;
+
+use super::answer_check::{check_effects, start_tier};
+
+fn booking(tier: &TestTier, entry: usize) -> Result<QueryCall> {
+    QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(address(tier, entry))
+}
+
+fn address(tier: &TestTier, entry: usize) -> SocketAddr {
+    tier.entries[entry].plan.caller_address
+}
+
+fn send_aside(call: &QueryCall, entry: SocketAddr) -> JoinHandle<Result<(u16, QueryAnswer)>> {
+    let call = call.clone();
+    thread::spawn(move || call.send(entry))
+}
+
+/// Delays the next answers of all dispatch replicas; their effects come at once.
+fn delay_answers(tier: &TestTier, delay_ms: u64) -> Result<()> {
+    tier.upstreams.command(json!({
+        "service": "dispatch",
+        "do": [{ "action": "fault", "kind": "late", "delay_ms": delay_ms }]
+    }))
+}
+
+fn wait_effect(tier: &TestTier, call: &QueryCall) -> Result<()> {
+    wait_until("the effect", || {
+        let effects = tier.upstreams.effects_of(&call.request.query).ok()?;
+        (effects == 1).then_some(())
+    })
+}
+
+#[test]
+fn instance_killed() -> Result<()> {
+    let mut tier = start_tier(json!({}))?;
+    let call = booking(&tier, 0)?;
+    delay_answers(&tier, 600_000)?;
+    let cut = send_aside(&call, address(&tier, 0));
+    wait_effect(&tier, &call)?;
+
+    tier.entries[0].child.kill()?;
+    let cut = cut.join().expect("the call ends");
+    let mut outcomes = Vec::new();
+    for _ in 0..3 {
+        outcomes.push(call.send(address(&tier, 1))?.1.outcome);
+    }
+
+    assert!(cut.is_err(), "a killed entry answered: {cut:?}");
+    assert_eq!(outcomes, [QueryOutcome::Unknown; 3]);
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
+    Ok(())
+}
+
+#[test]
+fn process_paused() -> Result<()> {
+    let lifetime_ms = 1_000;
+    let tier = start_tier(json!({ "ticket_lifetime_ms": lifetime_ms }))?;
+    let call = booking(&tier, 0)?;
+
+    tier.entries[0].child.pause()?;
+    let waiting = send_aside(&call, address(&tier, 0));
+    thread::sleep(Duration::from_millis(2 * lifetime_ms));
+    tier.entries[0].child.signal(ProcessSignal::Continue)?;
+    let (_, answer) = waiting.join().expect("the call ends")?;
+    let (_, resent) = call.send(address(&tier, 1))?;
+
+    assert_ne!(answer.outcome, QueryOutcome::Done, "an expired ticket ran");
+    assert_ne!(resent.outcome, QueryOutcome::Done, "an expired ticket ran");
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 0);
+    Ok(())
+}
+
+#[test]
+fn replica_lost() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    for kind in ["effect_then_drop", "drop_before", "effect_then_drop"] {
+        tier.upstreams.command(json!({
+            "service": "dispatch",
+            "do": [{ "action": "clear_faults" }, { "action": "fault", "kind": kind }]
+        }))?;
+        let call = booking(&tier, 0)?;
+        let (_, answer) = call.send(address(&tier, 0))?;
+        let (_, resent) = call.send(address(&tier, 1))?;
+
+        // A connection that closes without an answer proves nothing.
+        assert_eq!(answer.outcome, QueryOutcome::Unknown);
+        assert_eq!(resent.outcome, QueryOutcome::Unknown);
+        let effects = check_effects(&tier, &call, answer.outcome)?;
+        assert_eq!(effects, u64::from(kind == "effect_then_drop"));
+    }
+    Ok(())
+}
+
+#[test]
+fn silent_connection() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "set": { "service_us": 300_000 } }))?;
+    let call = booking(&tier, 0)?.with_deadline_ms(2_000);
+    let waiting = send_aside(&call, address(&tier, 0));
+    wait_until("the booking", || {
+        let counts = tier.upstreams.counts().ok()?;
+        counts
+            .values()
+            .any(|counts| counts.received > 0)
+            .then_some(())
+    })?;
+
+    tier.upstreams.command(json!({
+        "service": "dispatch", "do": [{ "action": "silence_existing", "mode": "lose_answer" }]
+    }))?;
+    let (_, answer) = waiting.join().expect("the call ends")?;
+    // The instance may give up on the connection before the work ends.
+    wait_effect(&tier, &call)?;
+    let (_, resent) = call.send(address(&tier, 1))?;
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "set": { "service_us": 1_000 } }))?;
+    let next = booking(&tier, 0)?;
+    let (_, after) = next.send(address(&tier, 0))?;
+
+    assert_eq!(answer.outcome, QueryOutcome::Unknown);
+    assert_eq!(resent.outcome, QueryOutcome::Unknown);
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
+    assert_eq!(after.outcome, QueryOutcome::Done, "new connections work");
+    Ok(())
+}
+
+#[test]
+fn late_answer() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    for kind in ["crossed", "late", "doubled", "crossed", "wrong_snapshot"] {
+        tier.upstreams.command(json!({
+            "service": "dispatch",
+            "do": [{ "action": "clear_faults" },
+                   { "action": "fault", "kind": kind, "delay_ms": 1_500 }]
+        }))?;
+        let call = booking(&tier, 0)?.with_deadline_ms(1_000);
+        let (_, answer) = call.send(address(&tier, 0))?;
+        check_effects(&tier, &call, answer.outcome)?;
+        let (_, resent) = call.send(address(&tier, 1))?;
+        check_effects(&tier, &call, resent.outcome)?;
+        if matches!(kind, "crossed" | "late") {
+            assert_eq!(answer.outcome, QueryOutcome::Unknown, "{kind}");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilhub-dev/tests/matrix/config_in_force.rs
@@ -0,0 +1,88 @@
+//! Guards against an instance that serves an older sheet than one that was in force, or none.
+
+use anvilhub_coord::ids::PlatformRevision;
+use anvilhub_dev::process::{EntryProcess, ProcessSignal, TestTier, wait_until};
+use anvilhub_dev::standin::platform::{DownMode, PlatformCommand};
+use eyre::Result;
+use serde_json::json;
+
+use super::answer_check::{is_complete, search, start_tier};
+
+fn wait_version(entry: &EntryProcess, version: u64) -> Result<()> {
+    wait_until("the new sheet in force", || {
+        (entry.sheet_version() == Some(version)).then_some(())
+    })
+}
+
+/// Kills the second entry, and starts it again without anything it knew.
+fn restart_second(tier: &mut TestTier) -> Result<()> {
+    tier.entries[1].child.kill()?;
+    let mut entry = tier.entries[1]
+        .plan
+        .start(&tier.scratch, tier.platform.address)?;
+    entry.wait_ready()?;
+    tier.entries[1] = entry;
+    Ok(())
+}
+
+fn publish_everywhere(tier: &mut TestTier) -> Result<u64> {
+    let version = tier.publish_next_sheet()?;
+    for entry in &tier.entries {
+        wait_version(entry, version)?;
+    }
+    Ok(version)
+}
+
+#[test]
+fn config_stale() -> Result<()> {
+    let mut tier = start_tier(json!({}))?;
+    let version = publish_everywhere(&mut tier)?;
+    tier.platform.control(&PlatformCommand {
+        serve_sheet_revision: Some(PlatformRevision(1)),
+        ..PlatformCommand::default()
+    })?;
+
+    restart_second(&mut tier)?;
+
+    assert_eq!(tier.entries[1].sheet_version(), Some(version));
+    assert_eq!(tier.entries[0].sheet_version(), Some(version));
+    Ok(())
+}
+
+#[test]
+fn config_down() -> Result<()> {
+    let mut tier = start_tier(json!({}))?;
+    let version = publish_everywhere(&mut tier)?;
+    // The list was read before the outage, so the restarted instance knows its peer from its settings.
+    let peer = tier.entries[0].plan.peer_address.to_string();
+    tier.entries[1]
+        .plan
+        .settings
+        .insert("peers".to_owned(), json!({ "entry-1": peer }));
+    for down in [DownMode::Refuse, DownMode::Hang] {
+        tier.platform.control(&PlatformCommand {
+            down: Some(down),
+            ..PlatformCommand::default()
+        })?;
+        restart_second(&mut tier)?;
+        assert_eq!(tier.entries[1].sheet_version(), Some(version));
+        assert!(is_complete(&search(&tier, 1)?));
+    }
+    Ok(())
+}
+
+#[test]
+fn process_paused() -> Result<()> {
+    let mut tier = start_tier(json!({}))?;
+    tier.entries[1].child.pause()?;
+    let version = tier.publish_next_sheet()?;
+    wait_version(&tier.entries[0], version)?;
+    tier.platform.control(&PlatformCommand {
+        serve_sheet_revision: Some(PlatformRevision(1)),
+        ..PlatformCommand::default()
+    })?;
+
+    tier.entries[1].child.signal(ProcessSignal::Continue)?;
+
+    wait_version(&tier.entries[1], version)
+}
--- /dev/null
+++ b/crates/anvilhub-dev/tests/matrix/mod.rs
@@ -0,0 +1,10 @@
+//! Failure runs with real processes: a file for each guarantee, a function for each fault.
+
+mod answer_check;
+mod at_most_once;
+mod config_in_force;
+mod leaving_upstream;
+mod one_snapshot;
+mod own_answer;
+mod true_coverage;
+mod true_not_run;
--- /dev/null
+++ b/crates/anvilhub-dev/tests/matrix/one_snapshot.rs
@@ -0,0 +1,55 @@
+//! Guards against an answer that mixes rows of two index versions.
+
+use anvilhub_coord::ids::SnapshotId;
+use eyre::Result;
+use serde_json::json;
+
+use super::answer_check::{search, start_tier, under_load};
+
+const REPLICAS: [&str; 8] = [
+    "stock-1-a",
+    "stock-1-b",
+    "stock-2-a",
+    "stock-2-b",
+    "stock-3-a",
+    "stock-3-b",
+    "stock-4-a",
+    "stock-4-b",
+];
+
+#[test]
+fn snapshot_change() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    // Each answer is compared with the rows of the snapshot that it states; a mixed one would differ.
+    let act = |upstream: &str, name: &str, snapshot: u64| {
+        let action = json!({ "action": name, "snapshot": snapshot });
+        tier.upstreams
+            .command(json!({ "upstream": upstream, "do": [action] }))
+    };
+    under_load(
+        2,
+        || search(&tier, 0).map(drop),
+        || {
+            let steps = [
+                ("publish_snapshot", 2),
+                ("publish_snapshot", 3),
+                ("roll_back", 2),
+            ];
+            for (name, snapshot) in steps {
+                for replica in REPLICAS {
+                    act(replica, name, snapshot)?;
+                    search(&tier, 1)?;
+                }
+            }
+            Ok(())
+        },
+    )?;
+
+    let mut last = search(&tier, 0)?;
+    // Held snapshots are learned from answers, so a rollback may show after some of them.
+    for _ in 0..20 {
+        last = search(&tier, 0)?;
+    }
+    assert_eq!(last.snapshot, Some(SnapshotId(2)));
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilhub-dev/tests/matrix/true_coverage.rs
@@ -0,0 +1,69 @@
+//! Guards against an answer that claims keys which nobody searched, or hides which ones are missing.
+
+use eyre::Result;
+use serde_json::json;
+
+use super::answer_check::{is_complete, search, search_within, start_tier};
+
+#[test]
+fn replica_lost() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    let whole = search(&tier, 0)?;
+    assert!(is_complete(&whole), "{whole:?}");
+
+    tier.upstreams
+        .command(json!({ "shard": "stock-2", "do": [{ "action": "kill" }] }))?;
+    let partial = search(&tier, 0)?;
+
+    let coverage = partial.coverage.expect("a partial answer has coverage");
+    let missing: Vec<_> = coverage
+        .missing
+        .iter()
+        .map(|part| (part.start, part.end))
+        .collect();
+    assert_eq!(missing, [(1 << 30, 1 << 31)]);
+    Ok(())
+}
+
+#[test]
+fn repartition() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    search(&tier, 0)?;
+
+    // The replicas of the second shard give the lower half of its range to those of the first.
+    let moved = 3u64 << 29;
+    for (shard, start, end) in [("stock-2", moved, 1u64 << 31), ("stock-1", 0, moved)] {
+        tier.upstreams
+            .command(json!({ "shard": shard, "set": { "start": start, "end": end } }))?;
+        for entry in [0, 1] {
+            search_within(&tier, entry, 2_000)?;
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn silent_connection() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    for _ in 0..4 {
+        search(&tier, 0)?;
+    }
+    tier.upstreams.command(json!({
+        "service": "stock", "do": [{ "action": "silence_existing" }]
+    }))?;
+
+    let mut complete = 0;
+    for _ in 0..10 {
+        complete += usize::from(is_complete(&search_within(&tier, 0, 1_000)?));
+    }
+
+    let silenced: u64 = tier
+        .upstreams
+        .counts()?
+        .values()
+        .map(|counts| counts.silenced)
+        .sum();
+    assert!(silenced > 0, "no sub-request met a silent connection");
+    assert!(complete > 0, "new connections work, but none was used");
+    Ok(())
+}
--- /dev/null
+++ b/crates/anvilhub-dev/tests/matrix/true_not_run.rs
@@ -0,0 +1,70 @@
+//! Guards against a refusal that says "not run" for a booking that took effect, or does so later.
+
+use std::net::TcpStream;
+
+use anvilhub_coord::border::query::QueryOutcome;
+use anvilhub_dev::process::{QueryCall, TestTier, wait_until};
+use eyre::Result;
+use serde_json::json;
+
+use super::answer_check::{check_effects, start_tier};
+
+fn dispatch_addresses(tier: &TestTier) -> impl Iterator<Item = &str> {
+    let services = tier.sheet.services.iter();
+    services
+        .filter(|service| service.name.as_str() == "dispatch")
+        .flat_map(|service| &service.shards)
+        .flat_map(|shard| &shard.replicas)
+        .map(|replica| replica.address.as_str())
+}
+
+#[test]
+fn replica_lost() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    let entry = |number: usize| tier.entries[number % 2].plan.caller_address;
+    tier.upstreams.command(json!({
+        "service": "dispatch", "set": { "shed": 0.6, "seed": 7 }
+    }))?;
+    let mut calls = Vec::new();
+    for number in 0..24 {
+        match number % 6 {
+            2 => tier.upstreams.command(json!({
+                "service": "dispatch", "do": [{ "action": "fault", "kind": "effect_then_drop" }]
+            }))?,
+            4 => tier.upstreams.command(json!({
+                "upstream": "dispatch-1-b", "do": [{ "action": "kill" }]
+            }))?,
+            5 => tier.upstreams.command(json!({
+                "upstream": "dispatch-1-b", "do": [{ "action": "revive" }]
+            }))?,
+            _ => {}
+        }
+        let call = QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(entry(number))?;
+        let (_, answer) = call.send(entry(number))?;
+        check_effects(&tier, &call, answer.outcome)?;
+        calls.push((call, answer.outcome));
+    }
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "do": [{ "action": "kill" }] }))?;
+    wait_until("the death of all replicas", || {
+        let mut replicas = dispatch_addresses(&tier);
+        replicas
+            .all(|address| TcpStream::connect(address).is_err())
+            .then_some(())
+    })?;
+    let call = QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(entry(0))?;
+    let (_, nobody) = call.send(entry(0))?;
+    tier.upstreams.command(
+        json!({ "service": "dispatch", "do": [{ "action": "revive" }], "set": { "shed": 0.0 } }),
+    )?;
+
+    // A refusal holds for good: resending the ticket later, when all replicas work, runs nothing.
+    for (call, outcome) in &calls {
+        let (_, resent) = call.send(entry(1))?;
+        check_effects(&tier, call, *outcome)?;
+        check_effects(&tier, call, resent.outcome)?;
+    }
+    // Connections that were refused prove that nothing ran.
+    assert_eq!(nobody.outcome, QueryOutcome::NotRun);
+    Ok(())
+}
