--- a/crates/anvilhub-coord/src/border/operator.rs
+++ b/crates/anvilhub-coord/src/border/operator.rs
@@ -26,89 +26,6 @@
         }
     }
 }
-///What the instance knows about one replica.
-///
-/// <details><summary>JSON schema</summary>
-///
-/// ```json
-///{
-///  "description": "What the instance knows about one replica.",
-///  "type": "object",
-///  "required": [
-///    "address",
-///    "ejected",
-///    "expected_us",
-///    "failures",
-///    "in_flight",
-///    "upstream"
-///  ],
-///  "properties": {
-///    "address": {
-///      "type": "string"
-///    },
-///    "ejected": {
-///      "type": "boolean"
-///    },
-///    "expected_us": {
-///      "description": "Expected time until a sub-request sent now is answered.",
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
-///    },
-///    "failures": {
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
-///    "held": {
-///      "type": "array",
-///      "items": {
-///        "$ref": "#/definitions/SnapshotId"
-///      }
-///    },
-///    "in_flight": {
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
-///    "latency_us": {
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
-///    },
-///    "leaving": {
-///      "description": "Signal by which the replica is leaving.",
-///      "type": "string"
-///    },
-///    "upstream": {
-///      "$ref": "#/definitions/UpstreamId"
-///    }
-///  }
-///}
-/// ```
-/// </details>
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
-pub struct ExplainReplica {
-    pub address: ::std::string::String,
-    pub ejected: bool,
-    ///Expected time until a sub-request sent now is answered.
-    pub expected_us: u64,
-    pub failures: u32,
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub held: ::std::vec::Vec<crate::ids::SnapshotId>,
-    pub in_flight: u32,
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub latency_us: ::std::option::Option<u64>,
-    ///Signal by which the replica is leaving.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub leaving: ::std::option::Option<::std::string::String>,
-    pub upstream: crate::ids::UpstreamId,
-}
-impl ::std::convert::From<&ExplainReplica> for ExplainReplica {
-    fn from(value: &ExplainReplica) -> Self {
-        value.clone()
-    }
-}
 ///How a request would be routed now.
 ///
 /// <details><summary>JSON schema</summary>
@@ -118,28 +35,15 @@
 ///  "description": "How a request would be routed now.",
 ///  "type": "object",
 ///  "required": [
-///    "instance",
-///    "limit",
-///    "running",
+///    "end",
 ///    "service",
 ///    "shards",
-///    "sheet_version",
-///    "waiting"
+///    "start"
 ///  ],
 ///  "properties": {
-///    "instance": {
-///      "$ref": "#/definitions/InstanceId"
-///    },
-///    "limit": {
-///      "description": "Requests that may run at once.",
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
-///    "running": {
-///      "description": "Requests of the service that run at this instance.",
+///    "end": {
 ///      "type": "integer",
-///      "format": "uint32",
+///      "format": "uint64",
 ///      "minimum": 0.0
 ///    },
 ///    "service": {
@@ -151,14 +55,10 @@
 ///        "$ref": "#/definitions/ExplainShard"
 ///      }
 ///    },
-///    "sheet_version": {
-///      "$ref": "#/definitions/SheetVersion"
-///    },
 ///    "snapshot": {
 ///      "$ref": "#/definitions/SnapshotId"
 ///    },
-///    "waiting": {
-///      "description": "Requests that wait for admission.",
+///    "start": {
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
@@ -169,18 +69,12 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ExplainReport {
-    pub instance: crate::ids::InstanceId,
-    ///Requests that may run at once.
-    pub limit: u32,
-    ///Requests of the service that run at this instance.
-    pub running: u32,
+    pub end: u64,
     pub service: crate::ids::ServiceName,
     pub shards: ::std::vec::Vec<ExplainShard>,
-    pub sheet_version: crate::ids::SheetVersion,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub snapshot: ::std::option::Option<crate::ids::SnapshotId>,
-    ///Requests that wait for admission.
-    pub waiting: u64,
+    pub start: u64,
 }
 impl ::std::convert::From<&ExplainReport> for ExplainReport {
     fn from(value: &ExplainReport) -> Self {
@@ -197,13 +91,11 @@
 ///  "type": "object",
 ///  "required": [
 ///    "end",
-///    "owner_bypassed",
+///    "owner",
 ///    "reason",
 ///    "replicas",
 ///    "shard",
-///    "slots_busy",
-///    "start",
-///    "waiting"
+///    "start"
 ///  ],
 ///  "properties": {
 ///    "chosen": {
@@ -214,44 +106,26 @@
 ///      "format": "uint64",
 ///      "minimum": 0.0
 ///    },
-///    "hedge_after_us": {
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
-///    },
 ///    "owner": {
-///      "description": "Peer address of the instance that queues for the shard; absent when it is this one.",
+///      "description": "Instance that queues for the shard's slots.",
 ///      "type": "string"
 ///    },
-///    "owner_bypassed": {
-///      "type": "boolean"
-///    },
 ///    "reason": {
 ///      "type": "string"
 ///    },
 ///    "replicas": {
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/ExplainReplica"
+///        "$ref": "#/definitions/UpstreamState"
 ///      }
 ///    },
 ///    "shard": {
 ///      "$ref": "#/definitions/ShardName"
 ///    },
-///    "slots_busy": {
-///      "type": "integer",
-///      "format": "uint32",
-///      "minimum": 0.0
-///    },
 ///    "start": {
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
-///    },
-///    "waiting": {
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
 ///    }
 ///  }
 ///}
@@ -262,18 +136,12 @@
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub chosen: ::std::option::Option<crate::ids::UpstreamId>,
     pub end: u64,
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub hedge_after_us: ::std::option::Option<u64>,
-    ///Peer address of the instance that queues for the shard; absent when it is this one.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub owner: ::std::option::Option<::std::string::String>,
-    pub owner_bypassed: bool,
+    ///Instance that queues for the shard's slots.
+    pub owner: ::std::string::String,
     pub reason: ::std::string::String,
-    pub replicas: ::std::vec::Vec<ExplainReplica>,
+    pub replicas: ::std::vec::Vec<UpstreamState>,
     pub shard: crate::ids::ShardName,
-    pub slots_busy: u32,
     pub start: u64,
-    pub waiting: u64,
 }
 impl ::std::convert::From<&ExplainShard> for ExplainShard {
     fn from(value: &ExplainShard) -> Self {
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -5,8 +5,8 @@
 
 use anvilhub_coord::border::platform::InstanceList;
 use anvilhub_coord::configuration::{ExchangeMessage, PeerIdentity, PeerStage, SheetInput};
-use anvilhub_coord::ids::{Incarnation, InstanceId, ServiceName, ShardName};
-use anvilhub_coord::membership::MemberTable;
+use anvilhub_coord::ids::{Incarnation, InstanceId};
+use anvilhub_coord::membership::{MemberState, MemberTable};
 use anvilhub_coord::sheet::{CheckedSheet, ReplicaSpec, ShardSpec};
 use anvilhub_coord::ticket::{TicketIdentity, TicketLimits, TicketTable};
 use anvilhub_coord::time::{ClockTime, PauseDetector};
@@ -20,10 +20,9 @@
 use crate::controllers::ConfigState;
 use crate::fanout::{OwnerTable, SubRequestIds};
 use crate::lifecycle::{LifecycleStage, StageCell};
-use crate::live_fleet::LiveFleet;
 use crate::peer::PeerClients;
 use crate::pool::UpstreamPool;
-use crate::routes::{RouteStore, RouteTable};
+use crate::routes::{EntryDivision, RouteStore, RouteTable, leaving_news};
 use crate::tickets::{TicketService, random_number};
 use tokio::sync::Semaphore;
 
@@ -39,7 +38,7 @@
     pub(crate) instances: ArcSwapOption<InstanceList>,
     pub(crate) configuration: Arc<ConfigState>,
     pub(crate) pause: PauseDetector,
-    pub(crate) fleet: ArcSwap<LiveFleet>,
+    pub(crate) division: ArcSwap<EntryDivision>,
     pub(crate) pool: UpstreamPool,
     pub(crate) peers: PeerClients,
     pub(crate) tickets: Arc<TicketService>,
@@ -76,7 +75,7 @@
             instances: ArcSwapOption::empty(),
             configuration: Arc::new(configuration),
             pause,
-            fleet: ArcSwap::default(),
+            division: ArcSwap::default(),
             members: Mutex::new(members),
             pool,
             peers,
@@ -95,24 +94,18 @@
         Some(self.route_store.for_sheet(&sheet))
     }
 
-    /// Peer address of the instance that queues for a shard, `None` when it is this one.
-    pub(crate) fn owner_of(&self, service: &ServiceName, shard: &ShardName) -> Option<SocketAddr> {
-        let fleet = self.fleet.load();
-        let owner = fleet.owner(service, shard)?;
-        match *owner == self.settings.instance {
-            true => None,
-            false => self.peer_address_of(owner),
-        }
-    }
-
-    /// Live instances among which connections and slots are divided, this one included.
-    pub(crate) fn live_entries(&self) -> u32 {
-        self.fleet.load().len()
-    }
-
-    /// Place of this instance in the sorted list of live instances, from zero.
-    pub(crate) fn entry_rank(&self) -> u32 {
-        self.fleet.load().rank(&self.settings.instance)
+    /// How shards, slots and connections are divided among the instances that are known now.
+    pub(crate) fn divide_entries(&self) -> EntryDivision {
+        let own = &self.settings.instance;
+        let now = self.clock.now();
+        let members = self.members();
+        let live = members.live(now);
+        let live = live
+            .filter_map(|peer| Some((peer.clone(), members.address(peer)?)))
+            .collect();
+        let is_leaving = |peer: &&InstanceId| members.state(peer, now) == MemberState::Leaving;
+        let leaving: Vec<InstanceId> = members.peers().filter(is_leaving).cloned().collect();
+        EntryDivision::new(own, !self.is_draining(), live, leaving)
     }
 
     /// Counts a request as in flight until the guard is dropped.
@@ -144,12 +137,17 @@
 
     /// The state to tell a peer.
     pub(crate) fn exchange_message(&self) -> ExchangeMessage {
-        self.configuration.message(self.is_draining(), Vec::new())
+        let routes = self.route_store.table();
+        let draining = routes.map_or_else(Vec::new, |routes| leaving_news::direct(&routes));
+        self.configuration.message(self.is_draining(), draining)
     }
 
     /// Takes the state that a peer told, in answer to an exchange sent at `sent_at` or by itself.
     pub(crate) fn hear_peer(&self, message: ExchangeMessage, sent_at: Option<ClockTime>) {
         let is_draining = message.stage == PeerStage::Draining;
+        if let Some(routes) = self.route_store.table() {
+            leaving_news::mark_told(&routes, &message.draining);
+        }
         self.members()
             .observe_answer(&message.sender, is_draining, self.clock.now());
         self.configuration
--- a/crates/anvilhubd/src/controllers/config_controller.rs
+++ b/crates/anvilhubd/src/controllers/config_controller.rs
@@ -12,7 +12,6 @@
 use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
-use crate::live_fleet::LiveFleet;
 
 use super::PeerExchange;
 
@@ -128,27 +127,21 @@
         gauge!("anvilhub_alarms").set(alarms as f64);
         gauge!("anvilhub_sheet_confirmed").set(f64::from(u8::from(ready)));
         self.context.configuration.set_ready(ready);
-        self.publish_owners();
+        self.publish_division();
         if ready {
             // A full channel means that the daemon knows already.
             let _ = self.became_ready.try_send(());
         }
     }
 
-    /// Recomputes the owners of shards when the live members changed.
-    fn publish_owners(&self) {
-        let now = self.context.clock.now();
-        let own = self.context.settings.instance.clone();
-        let mut live: Vec<InstanceId> = self.context.members().live(now).cloned().collect();
-        if !self.context.is_draining() || live.is_empty() {
-            live.push(own);
-        }
-        let fleet = LiveFleet::new(live);
-        if self.context.fleet.load().is_same(&fleet) {
+    /// Divides shards, slots and connections anew when the live instances changed.
+    fn publish_division(&self) {
+        let division = self.context.divide_entries();
+        if self.context.division.load().is_same(&division) {
             return;
         }
-        gauge!("anvilhub_live_instances").set(f64::from(fleet.len()));
-        info!(instances = fleet.len(); "owners of shards recomputed");
-        self.context.fleet.store(Arc::new(fleet));
+        gauge!("anvilhub_live_instances").set(f64::from(division.entries));
+        info!(instances = division.entries; "shards, slots and connections divided among instances");
+        self.context.division.store(Arc::new(division));
     }
 }
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::connection::ConnectionShare;
-use anvilhub_coord::ids::SlotCount;
+use anvilhub_coord::ids::{PlatformRevision, SheetDigest, SlotCount};
 use anvilhub_coord::routing::{EjectionCandidate, EjectionPolicy};
 use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
 use anvilhub_coord::time::ClockTime;
@@ -19,6 +19,7 @@
 
 use crate::context::EntryContext;
 use crate::pool::{LinkPlan, PoolError};
+use crate::routes::leaving_news;
 use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
 /// Time between two rounds: queues are advanced a few times per second at least.
@@ -41,6 +42,8 @@
     context: Arc<EntryContext>,
     runtime: Handle,
     polls: Arc<Semaphore>,
+    /// Division, instance list and sheet that the routes follow.
+    divided: Option<(usize, Option<PlatformRevision>, SheetDigest)>,
 }
 
 impl UpstreamController {
@@ -49,6 +52,7 @@
             context,
             runtime,
             polls: Arc::new(Semaphore::new(MOST_POLLS)),
+            divided: None,
         }
     }
 
@@ -60,7 +64,7 @@
         Ok(())
     }
 
-    fn run(self) {
+    fn run(mut self) {
         // Connections are opened and probed by tasks of the runtime.
         let _runtime = self.runtime.enter();
         for _ in tick(ROUND_INTERVAL) {
@@ -70,8 +74,9 @@
         }
     }
 
-    fn round(&self, routes: &RouteTable) {
+    fn round(&mut self, routes: &RouteTable) {
         let now = self.context.clock.now();
+        self.divide(routes);
         let mut plans = HashMap::new();
         let mut silence = HashMap::new();
         for service in routes.services.values() {
@@ -95,6 +100,27 @@
         self.context.pool.maintain(limit);
     }
 
+    /// Follows the live instances and the sheet: who owns each shard, and which upstreams the list names as
+    /// leaving.
+    fn divide(&mut self, routes: &RouteTable) {
+        let list = self.context.instances.load_full();
+        let division = self.context.division.load_full();
+        let revision = list.as_ref().map(|list| list.revision);
+        let state = Some((Arc::as_ptr(&division) as usize, revision, routes.digest));
+        if self.divided == state {
+            return;
+        }
+        self.divided = state;
+        if let Some(list) = list {
+            leaving_news::mark_listed(routes, &list);
+        }
+        for service in routes.services.values() {
+            for shard in &service.shards {
+                shard.set_owner(division.owner_of(&service.spec.name, &shard.name));
+            }
+        }
+    }
+
     fn advance(&self, service: &ServiceRoute, now: ClockTime) {
         service.gate.advance();
         service.refresh_hedges();
@@ -115,9 +141,7 @@
 
     /// Says whether this instance is the one that usually sends to the shard.
     fn is_sender(&self, service: &ServiceRoute, shard: &ShardRoute) -> bool {
-        let spec = &service.spec;
-        spec.route.mode == RouteMode::Direct
-            || self.context.owner_of(&spec.name, &shard.name).is_none()
+        service.spec.route.mode == RouteMode::Direct || shard.owner().is_none()
     }
 
     /// Slots that this instance may occupy: all of a shard that it owns, its share of others.
@@ -125,7 +149,7 @@
         let owns = service.spec.route.mode == RouteMode::Owner && self.is_sender(service, shard);
         match owns {
             true => usable,
-            false => SlotCount((usable.get() / self.context.live_entries().max(1)).max(1)),
+            false => SlotCount((usable.get() / self.context.division.load().entries).max(1)),
         }
     }
 
@@ -135,8 +159,9 @@
         shard: &ShardRoute,
         upstream: &UpstreamRoute,
     ) -> LinkPlan {
-        let division = ConnectionShare::new(self.context.live_entries());
-        let (limit, rank) = (upstream.spec.connections, self.context.entry_rank());
+        let entries = self.context.division.load();
+        let division = ConnectionShare::new(entries.entries);
+        let (limit, rank) = (upstream.spec.connections, entries.rank);
         let sends = self.is_sender(service, shard);
         let share = match (service.spec.route.mode, sends) {
             (RouteMode::Direct, _) => division.direct(limit, rank),
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -56,7 +56,7 @@
             RequestError::NotAdmitted {
                 service,
                 reason: refusal.reason,
-                estimated_wait: refusal.estimated_wait,
+                wait_ms: refusal.estimated_wait.as_millis() as u64,
             }
         })
     }
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -9,7 +9,6 @@
 mod fanout;
 mod filters;
 mod lifecycle;
-mod live_fleet;
 mod logging;
 mod operator;
 mod peer;
--- a/crates/anvilhubd/src/routes/route_table.rs
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -35,7 +35,6 @@
         }
     }
 
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn upstreams(&self) -> impl Iterator<Item = &Arc<UpstreamRoute>> {
         self.services
             .values()
@@ -43,7 +42,6 @@
     }
 
     /// Marks an upstream as leaving, such as by the instance list or a peer.
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn mark_leaving(&self, id: &UpstreamId, signal: LeavingSignal) {
         let upstreams = self.upstreams();
         for upstream in upstreams.filter(|upstream| upstream.spec.id == *id) {
@@ -52,7 +50,6 @@
     }
 
     /// Upstreams that are leaving, with the first signal of each.
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn leaving(&self) -> Vec<(UpstreamId, LeavingSignal)> {
         self.upstreams()
             .filter_map(|upstream| Some((upstream.spec.id.clone(), upstream.leaving()?)))
