Ping owners of long batches, keep slots for retries

Cause: a batch that waits for slots for more than 30 ms counted as a silent owner. Retries queued again for the slot that they had just left, and the admission limit started at all slots of a shard in every instance.

Change: an owner whose batch takes long is pinged, and any answer counts as a sign of life. A failed attempt hands its slot to the retry. Replicas on trial give no slots. A cancelled loser frees its slot when the upstream has acknowledged the cancellation.

Ruled out: a longer silence limit, because requests would wait for it whenever an owner is lost.

Result: the daemon's tests pass.

--- a/crates/anvilhubd/src/admission/service_gate.rs
+++ b/crates/anvilhubd/src/admission/service_gate.rs
@@ -31,13 +31,11 @@
 }
 
 impl ServiceGate {
-    pub(crate) fn new(spec: &ServiceSpec, clock: DaemonClock) -> Arc<Self> {
+    /// The gate of one of `entries` instances.
+    pub(crate) fn new(spec: &ServiceSpec, entries: u32, clock: DaemonClock) -> Arc<Self> {
         // A request over the whole range occupies a slot of every shard, so the smallest shard limits it.
-        let slots = spec.shards.iter().map(|shard| shard.slots().get()).min();
-        let settings = AdmissionSettings {
-            initial_limit: slots.unwrap_or_default(),
-            ..AdmissionSettings::default()
-        };
+        let slots = spec.shards.iter().map(|shard| shard.slots()).min();
+        let settings = AdmissionSettings::for_share(slots.unwrap_or_default(), entries);
         Arc::new(Self {
             gate: RouteCell::new(AdmissionGate::new(settings)),
             clock,
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -91,7 +91,13 @@
     /// The routes of the sheet in force, `None` until there is one.
     pub(crate) fn routes(&self) -> Option<Arc<RouteTable>> {
         let sheet = self.sheet.load_full()?;
-        Some(self.route_store.for_sheet(&sheet))
+        Some(self.routes_of(&sheet))
+    }
+
+    /// The routes of `sheet`, or those of a newer one.
+    pub(crate) fn routes_of(&self, sheet: &CheckedSheet) -> Arc<RouteTable> {
+        let entries = self.division.load().entries;
+        self.route_store.for_sheet(sheet, entries)
     }
 
     /// How shards, slots and connections are divided among the instances that are known now.
--- a/crates/anvilhubd/src/fanout/batch_call.rs
+++ b/crates/anvilhubd/src/fanout/batch_call.rs
@@ -99,9 +99,11 @@
         Some(receiver)
     }
 
+    /// Waits until the owner is silent. A batch may wait long for slots, so the owner is pinged meanwhile.
     async fn silence(&self) {
         loop {
             sleep(HEALTH_POLL).await;
+            self.ping();
             let now = self.context.clock.now();
             if self.context.owners.is_bypassed(self.owner, now) {
                 return;
@@ -109,6 +111,29 @@
         }
     }
 
+    fn ping(&self) {
+        let owner = self.owner;
+        if !self.context.owners.begin_ping(owner) {
+            return;
+        }
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            let patience = context.settings.peer_timeout;
+            let ping =
+                context
+                    .peers
+                    .call(owner, patience, |client| async move { client.ping().await });
+            let answered = ping.await.is_ok();
+            context.owners.end_ping(owner);
+            if answered {
+                let now = context.clock.now();
+                context
+                    .owners
+                    .update(owner, |health| health.heard(now, false));
+            }
+        });
+    }
+
     async fn ended(&self, end: Result<CallEnd, oneshot::error::RecvError>) -> Vec<PieceEnd> {
         match end {
             Ok(Ok(answer)) => self.answered(answer),
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -28,7 +28,7 @@
     ///
     /// Fails when the request is not admitted; nothing was sent then.
     pub(crate) async fn run(&self, request: &EntryRequest) -> Result<QueryAnswer> {
-        let routes = self.context.route_store.for_sheet(&request.sheet);
+        let routes = self.context.routes_of(&request.sheet);
         let name = &request.query.service;
         let service = routes
             .services
--- a/crates/anvilhubd/src/fanout/owner_table.rs
+++ b/crates/anvilhubd/src/fanout/owner_table.rs
@@ -9,7 +9,13 @@
 /// Whether the owning instances that this one sends batches to answer.
 #[derive(Default)]
 pub(crate) struct OwnerTable {
-    owners: RouteCell<HashMap<SocketAddr, OwnerHealth>>,
+    owners: RouteCell<HashMap<SocketAddr, OwnerState>>,
+}
+
+#[derive(Default)]
+struct OwnerState {
+    health: OwnerHealth,
+    is_pinged: bool,
 }
 
 impl OwnerTable {
@@ -17,12 +23,25 @@
         self.owners.with(|owners| {
             owners
                 .get(&owner)
-                .is_some_and(|health| health.is_bypassed(now))
+                .is_some_and(|state| state.health.is_bypassed(now))
         })
     }
 
     pub(crate) fn update(&self, owner: SocketAddr, update: impl FnOnce(&mut OwnerHealth)) {
         self.owners
-            .with(|owners| update(owners.entry(owner).or_default()));
+            .with(|owners| update(&mut owners.entry(owner).or_default().health));
+    }
+
+    /// Says whether to ping the owner now: one ping is under way at a time.
+    pub(crate) fn begin_ping(&self, owner: SocketAddr) -> bool {
+        self.owners.with(|owners| {
+            let state = owners.entry(owner).or_default();
+            !std::mem::replace(&mut state.is_pinged, true)
+        })
+    }
+
+    pub(crate) fn end_ping(&self, owner: SocketAddr) {
+        self.owners
+            .with(|owners| owners.entry(owner).or_default().is_pinged = false);
     }
 }
--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -65,7 +65,7 @@
         let mut deadline = Box::pin(sleep(left));
         let mut is_early = true;
         loop {
-            if self.running.is_empty() && !self.choose_again() {
+            if self.gather.is_complete() || (self.running.is_empty() && !self.choose_again()) {
                 break;
             }
             tokio::select! {
--- a/crates/anvilhubd/src/fanout/sub_attempt.rs
+++ b/crates/anvilhubd/src/fanout/sub_attempt.rs
@@ -23,6 +23,8 @@
 pub(super) struct AttemptEnd {
     pub(super) index: usize,
     pub(super) result: Result<SubAnswer, PoolError>,
+    /// The slot, which a retry uses.
+    pub(super) slot: Option<SlotGuard>,
 }
 
 impl AttemptEnd {
@@ -80,7 +82,7 @@
     }
 
     async fn exchange(
-        self,
+        mut self,
         lease: ConnectionLease,
         mut done: oneshot::Sender<AttemptEnd>,
         sent: ClockTime,
@@ -99,7 +101,11 @@
         let result = tokio::select! {
             result = timeout(deadline.since(now), &mut exchange) => result,
             () = done.closed() => {
-                let (_, result) = tokio::join!(self.cancel(), timeout(ABANDON_WAIT, exchange));
+                let cancel = async {
+                    self.cancel().await;
+                    drop(self.slot.take());
+                };
+                let (_, result) = tokio::join!(cancel, timeout(ABANDON_WAIT, exchange));
                 drop(result);
                 return self.withdraw(sent);
             }
@@ -161,10 +167,13 @@
         if result.is_ok() {
             self.record_latency(waited);
         }
-        let index = self.index;
-        drop(self.slot);
-        // The request may have ended meanwhile.
-        let _ = done.send(AttemptEnd { index, result });
+        let end = AttemptEnd {
+            index: self.index,
+            result,
+            slot: self.slot,
+        };
+        // The request may have ended meanwhile; the slot is free then.
+        let _ = done.send(end);
     }
 
     /// Hedges are due by the latency of first attempts. One that lost counts with the time until it was given
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -41,6 +41,8 @@
     hedge_due: Option<ClockTime>,
     held: Vec<(UpstreamId, Vec<SnapshotId>)>,
     reason: MissingReason,
+    /// Slot of the latest attempt that failed.
+    slot: Option<SlotGuard>,
 }
 
 enum SubEvent {
@@ -62,6 +64,7 @@
             hedge_due: None,
             held: Vec::new(),
             reason: MissingReason::NoReplica,
+            slot: None,
             context,
             query,
         }
@@ -134,6 +137,7 @@
             }
             Err(_) => {}
         }
+        self.slot = end.slot;
         if let Err(error) = end.result {
             debug!(
                 request_id:% = self.query.body.request_id, sub_request:% = self.query.id, upstream:% = id;
@@ -159,7 +163,10 @@
         if is_paid && !self.spend(now) {
             return Err(self.reason);
         }
-        let slot = self.wait_for_slot().await?;
+        let slot = match self.slot.take() {
+            Some(slot) => slot,
+            None => self.wait_for_slot().await?,
+        };
         let choice = self.choose(Some(kind))?;
         self.send(choice, Some(kind), Some(slot));
         Ok(())
--- a/crates/anvilhubd/src/peer/peer_api.rs
+++ b/crates/anvilhubd/src/peer/peer_api.rs
@@ -31,4 +31,8 @@
     /// Runs sub-requests for shards that the called instance owns.
     #[method(name = "run_batch")]
     async fn run_batch(&self, batch: BatchMessage) -> Result<BatchAnswer, ErrorObjectOwned>;
+
+    /// Answers at once: an owner whose batch takes long shows by this that it is alive.
+    #[method(name = "ping")]
+    async fn ping(&self) -> Result<(), ErrorObjectOwned>;
 }
--- a/crates/anvilhubd/src/peer/peer_server.rs
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -86,4 +86,8 @@
         let _guard = self.context.begin_request();
         Ok(self.handler.run_batch(batch).await)
     }
+
+    async fn ping(&self) -> Result<(), ErrorObjectOwned> {
+        Ok(())
+    }
 }
--- a/crates/anvilhubd/src/routes/route_store.rs
+++ b/crates/anvilhubd/src/routes/route_store.rs
@@ -28,8 +28,8 @@
         self.table.load_full()
     }
 
-    /// The routes of `sheet`, or those of a newer one: a request may hold a sheet that was replaced meanwhile.
-    pub(crate) fn for_sheet(&self, sheet: &CheckedSheet) -> Arc<RouteTable> {
+    /// The routes of `sheet` in one of `entries` instances, or those of a newer one: a request may hold a sheet that was replaced meanwhile.
+    pub(crate) fn for_sheet(&self, sheet: &CheckedSheet, entries: u32) -> Arc<RouteTable> {
         let is_current =
             |table: &Arc<RouteTable>| table.digest == sheet.digest || table.version > sheet.version;
         if let Some(table) = self.table().filter(is_current) {
@@ -40,7 +40,12 @@
         if let Some(table) = previous.clone().filter(is_current) {
             return table;
         }
-        let table = Arc::new(RouteTable::new(sheet, previous.as_deref(), self.clock));
+        let table = Arc::new(RouteTable::new(
+            sheet,
+            previous.as_deref(),
+            entries,
+            self.clock,
+        ));
         self.table.store(Some(Arc::clone(&table)));
         table
     }
--- a/crates/anvilhubd/src/routes/route_table.rs
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -17,14 +17,19 @@
 }
 
 impl RouteTable {
-    /// The routes of `sheet`; services, shards and upstreams that stay keep the state of `previous`.
-    pub(crate) fn new(sheet: &CheckedSheet, previous: Option<&Self>, clock: DaemonClock) -> Self {
+    /// The routes of `sheet` in one of `entries` instances; services, shards and upstreams that stay keep the state of `previous`.
+    pub(crate) fn new(
+        sheet: &CheckedSheet,
+        previous: Option<&Self>,
+        entries: u32,
+        clock: DaemonClock,
+    ) -> Self {
         let services = sheet
             .services
             .values()
             .map(|spec| {
                 let known = previous.and_then(|table| table.services.get(&spec.name));
-                let service = ServiceRoute::new(spec, known.map(Arc::as_ref), clock);
+                let service = ServiceRoute::new(spec, known.map(Arc::as_ref), entries, clock);
                 (spec.name.clone(), Arc::new(service))
             })
             .collect();
--- a/crates/anvilhubd/src/routes/service_route.rs
+++ b/crates/anvilhubd/src/routes/service_route.rs
@@ -21,7 +21,12 @@
 }
 
 impl ServiceRoute {
-    pub(crate) fn new(spec: &ServiceSpec, previous: Option<&Self>, clock: DaemonClock) -> Self {
+    pub(crate) fn new(
+        spec: &ServiceSpec,
+        previous: Option<&Self>,
+        entries: u32,
+        clock: DaemonClock,
+    ) -> Self {
         let shards = spec
             .shards
             .iter()
@@ -40,7 +45,7 @@
             spec: spec.clone(),
             shards,
             gate: previous.map_or_else(
-                || ServiceGate::new(spec, clock),
+                || ServiceGate::new(spec, entries, clock),
                 |service| Arc::clone(&service.gate),
             ),
             budget,
--- a/crates/anvilhubd/src/routes/shard_queue.rs
+++ b/crates/anvilhubd/src/routes/shard_queue.rs
@@ -13,8 +13,8 @@
 
 /// Sub-requests that may wait for the slots of one shard.
 const QUEUE_CAPACITY: usize = 256;
-/// Time below which no answer of an upstream in another failure domain can arrive.
-const LEAST_TIME: Duration = Duration::from_millis(3);
+/// Least time that a sub-request needs: the round trip to another failure domain and a short service time.
+const LEAST_TIME: Duration = Duration::from_millis(6);
 
 /// Why a sub-request got no slot; it was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/anvilhubd/src/routes/shard_route.rs
+++ b/crates/anvilhubd/src/routes/shard_route.rs
@@ -81,19 +81,23 @@
 
     /// Slots of the replicas that take requests; those of all that stay when every one is ejected.
     pub(crate) fn usable_slots(&self, now: ClockTime) -> SlotCount {
-        let loads: Vec<_> = self
-            .replicas
-            .iter()
-            .map(|replica| (replica.spec.slots.get(), replica.load(now)))
-            .filter(|(_, load)| !load.leaving)
-            .collect();
-        let sum = |keep: &dyn Fn(bool) -> bool| {
-            let kept = loads.iter().filter(|(_, load)| keep(load.ejected));
-            kept.map(|(slots, _)| slots).sum::<u32>()
-        };
-        match sum(&|ejected| !ejected) {
-            0 => SlotCount(sum(&|_| true).max(1)),
-            slots => SlotCount(slots),
+        let (mut sound, mut staying) = (0, 0);
+        for replica in &self.replicas {
+            let (is_leaving, is_sound) = replica.state.with(|state| {
+                let view = &state.view;
+                let is_sound = !view.is_ejected(now) && !view.is_on_trial(now);
+                (view.leaving().is_some(), is_sound)
+            });
+            if is_leaving {
+                continue;
+            }
+            let slots = replica.spec.slots.get();
+            staying += slots;
+            sound += if is_sound { slots } else { 0 };
+        }
+        match sound {
+            0 => SlotCount(staying.max(1)),
+            sound => SlotCount(sound),
         }
     }
 
