End waits for slots in time, keep late bookings readable

Cause: a request whose sub-requests all waited for slots until its deadline was answered `unknown`, although nothing was sent. A connection counted as silent after 150 ms, which cut non-idempotent requests that were only slow and made their outcome unknown.

Change: the wait for a slot ends while there is time to answer `not_run`. The state of a link has its own file.

Ruled out: no silence limit for ticketed requests in the ledger, because their connections must free their share.

--- a/crates/anvilhubd/src/pool/mod.rs
+++ b/crates/anvilhubd/src/pool/mod.rs
@@ -3,6 +3,7 @@
 mod answer_body;
 mod connection_lease;
 mod link_plan;
+mod link_state;
 mod pool_error;
 mod upstream_connection;
 mod upstream_link;
--- a/crates/anvilhubd/src/pool/upstream_link.rs
+++ b/crates/anvilhubd/src/pool/upstream_link.rs
@@ -1,12 +1,10 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhub_coord::connection::{ConnectionId, ConnectionLedger, ConnectionPlan};
+use anvilhub_coord::connection::{ConnectionId, ConnectionPlan};
 use anvilhub_coord::sheet::RepeatPolicy;
-use anvilhub_coord::time::ClockTime;
 use log::{info, warn};
 use metrics::counter;
 use tokio::sync::{Notify, oneshot};
@@ -15,16 +13,9 @@
 use crate::clock::DaemonClock;
 use crate::routes::RouteCell;
 
+use super::link_state::{BusyConnection, IdleConnection, LinkState};
 use super::{ConnectionLease, LinkPlan, PoolError, Result, UpstreamConnection};
 
-/// Time without use after which a warm connection is probed, so that its proof of life stays below the age
-/// of one second at which the ledger distrusts it.
-const PROBE_AGE: Duration = Duration::from_millis(700);
-/// Pause after a failed opening ahead of need.
-const OPEN_PAUSE: Duration = Duration::from_millis(500);
-/// Connections opened ahead of need at once.
-const MOST_OPENED: u32 = 2;
-
 /// The connections of this instance to one upstream.
 pub(crate) struct UpstreamLink {
     address: SocketAddr,
@@ -34,22 +25,6 @@
     connect_timeout: Duration,
 }
 
-struct LinkState {
-    ledger: ConnectionLedger,
-    plan: LinkPlan,
-    idle: HashMap<ConnectionId, IdleConnection>,
-    /// Dropping a sender ends the exchange on the connection.
-    busy: HashMap<ConnectionId, oneshot::Sender<()>>,
-    opened: u64,
-    open_failed: Option<ClockTime>,
-    retired: bool,
-}
-
-struct IdleConnection {
-    connection: UpstreamConnection,
-    since: ClockTime,
-}
-
 enum LinkStep {
     Use(ConnectionLease),
     Probe(ConnectionLease),
@@ -65,15 +40,7 @@
         clock: DaemonClock,
         connect_timeout: Duration,
     ) -> Arc<Self> {
-        let state = LinkState {
-            ledger: ConnectionLedger::new(plan.share),
-            plan,
-            idle: HashMap::new(),
-            busy: HashMap::new(),
-            opened: 0,
-            open_failed: None,
-            retired: false,
-        };
+        let state = LinkState::new(plan);
         Arc::new(Self {
             address,
             state: RouteCell::new(state),
@@ -104,7 +71,7 @@
                     }
                 }
                 LinkStep::Probe(lease) => lease.probe().await,
-                LinkStep::Open => return self.open().await,
+                LinkStep::Open => return self.open(repeat).await,
                 LinkStep::Again => {}
                 LinkStep::Wait => changed.await,
             }
@@ -173,7 +140,7 @@
         for _ in 0..self.state.with(|state| state.reserve_warm(now)) {
             let link = Arc::clone(self);
             tokio::spawn(async move {
-                if let Ok(lease) = link.open().await {
+                if let Ok(lease) = link.open(RepeatPolicy::Idempotent).await {
                     lease.rest();
                 }
             });
@@ -229,7 +196,8 @@
         let (plan, taken) = self.state.with(|state| {
             let plan = state.ledger.acquire(now, repeat);
             let taken = match plan {
-                ConnectionPlan::Use(id) | ConnectionPlan::Probe(id) => state.take(id),
+                ConnectionPlan::Use(id) => state.take(id, repeat),
+                ConnectionPlan::Probe(id) => state.take(id, RepeatPolicy::Idempotent),
                 _ => None,
             };
             let replaced = match plan {
@@ -248,7 +216,7 @@
     }
 
     /// Opens a connection whose place the ledger reserved.
-    async fn open(self: &Arc<Self>) -> Result<ConnectionLease> {
+    async fn open(self: &Arc<Self>, repeat: RepeatPolicy) -> Result<ConnectionLease> {
         let mut reservation = OpenReservation {
             link: Arc::clone(self),
             open: true,
@@ -268,7 +236,11 @@
             state.opened += 1;
             state.open_failed = None;
             state.ledger.opened(now, id);
-            state.busy.insert(id, silent);
+            let busy = BusyConnection {
+                _exchange: silent,
+                repeat,
+            };
+            state.busy.insert(id, busy);
             id
         });
         Ok(ConnectionLease::new(
@@ -280,86 +252,6 @@
     }
 }
 
-impl LinkState {
-    fn take(
-        &mut self,
-        id: ConnectionId,
-    ) -> Option<(ConnectionId, UpstreamConnection, oneshot::Receiver<()>)> {
-        let Some(idle) = self.idle.remove(&id) else {
-            self.ledger.closed(id);
-            return None;
-        };
-        let (sender, receiver) = oneshot::channel();
-        self.busy.insert(id, sender);
-        Some((id, idle.connection, receiver))
-    }
-
-    fn take_excess(&mut self, share: u32) -> Vec<IdleConnection> {
-        let excess = self.ledger.set_share(share);
-        excess
-            .into_iter()
-            .filter_map(|id| self.idle.remove(&id))
-            .collect()
-    }
-
-    /// Number of silent connections, and the idle ones to close.
-    fn prune(&mut self, now: ClockTime, limit: Duration) -> (u64, Vec<IdleConnection>) {
-        let report = self.ledger.check(now, limit);
-        for id in &report.close {
-            self.busy.remove(id);
-        }
-        if report.upstream_suspect && self.plan.warm <= self.ledger.held() {
-            self.plan.warm = (self.ledger.held() + 1).min(self.plan.share);
-        }
-        let ended: Vec<ConnectionId> = self
-            .idle
-            .iter()
-            .filter(|(_, idle)| !idle.connection.is_usable())
-            .map(|(&id, _)| id)
-            .collect();
-        let mut closed = self.take_excess(self.plan.share);
-        for id in ended {
-            self.ledger.closed(id);
-            closed.extend(self.idle.remove(&id));
-        }
-        (report.close.len() as u64, closed)
-    }
-
-    /// Warm connections whose proof of life becomes old, taken out for a probe.
-    fn stale(
-        &mut self,
-        now: ClockTime,
-    ) -> Vec<(ConnectionId, UpstreamConnection, oneshot::Receiver<()>)> {
-        let mut idle: Vec<(ClockTime, ConnectionId)> = self
-            .idle
-            .iter()
-            .map(|(&id, idle)| (idle.since, id))
-            .collect();
-        idle.sort_unstable_by(|first, second| second.cmp(first));
-        idle.into_iter()
-            .take(self.plan.warm as usize)
-            .filter(|(since, _)| now.since(*since) >= PROBE_AGE)
-            .filter_map(|(_, id)| match self.ledger.begin_probe(now, id) {
-                true => self.take(id),
-                false => None,
-            })
-            .collect()
-    }
-
-    fn reserve_warm(&mut self, now: ClockTime) -> u32 {
-        let pauses = self
-            .open_failed
-            .is_some_and(|failed| now.since(failed) < OPEN_PAUSE);
-        if pauses || self.retired {
-            return 0;
-        }
-        let wanted = self.plan.warm.saturating_sub(self.ledger.held());
-        (0..wanted.min(MOST_OPENED))
-            .filter(|_| self.ledger.reserve())
-            .count() as u32
-    }
-}
-
 /// A place in the ledger that is given back when the opening fails or is abandoned.
 struct OpenReservation {
     link: Arc<UpstreamLink>,
--- a/crates/anvilhubd/src/routes/shard_queue.rs
+++ b/crates/anvilhubd/src/routes/shard_queue.rs
@@ -6,6 +6,7 @@
 use anvilhub_coord::sheet::UrgencyClass;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::clock::DaemonClock;
 
@@ -65,9 +66,12 @@
             receiver,
             queue: Arc::clone(self),
         };
-        (&mut wait.receiver)
-            .await
-            .unwrap_or(Err(SlotRefusal::Expired))
+        // The queue expires items when it is advanced; the wait itself ends in time to answer `not_run`.
+        let left = deadline.since(now).saturating_sub(LEAST_TIME);
+        match timeout(left, &mut wait.receiver).await {
+            Ok(Ok(answer)) => answer,
+            _ => Err(SlotRefusal::Expired),
+        }
     }
 
     /// Takes a free slot for a hedge, unless a sub-request waits for it.
