--- a/crates/anvilhub-coord/src/connection/connection_ledger.rs
+++ b/crates/anvilhub-coord/src/connection/connection_ledger.rs
@@ -42,6 +42,8 @@
 struct Record {
     state: ConnectionState,
     proof: ClockTime,
+    /// Whether the request that it carries is waited for, however late.
+    kept: bool,
 }
 
 /// The connections of one instance to one upstream.
@@ -138,6 +140,7 @@
         let record = Record {
             state: ConnectionState::Busy(now),
             proof: now,
+            kept: false,
         };
         self.connections.insert(id, record);
     }
@@ -160,6 +163,17 @@
         self.byte_received(now, id);
         if let Some(record) = self.connections.get_mut(&id) {
             record.state = ConnectionState::Idle;
+            record.kept = false;
+        }
+    }
+
+    /// Exempts a busy connection from the check for silence until its answer arrives.
+    ///
+    /// For a request that must not be sent again nothing is won by closing its connection before its deadline:
+    /// its outcome would become unknown although the upstream may only be slow.
+    pub fn keep_waiting(&mut self, id: ConnectionId) {
+        if let Some(record) = self.connections.get_mut(&id) {
+            record.kept = true;
         }
     }
 
@@ -179,6 +193,7 @@
         let late: Vec<(ConnectionId, ClockTime)> = self
             .connections
             .iter()
+            .filter(|(_, record)| !record.kept)
             .filter_map(|(&id, record)| {
                 let since = waiting_since(record)?.max(record.proof);
                 (now.since(since) >= limit).then_some((id, since))
--- a/crates/anvilhub-coord/tests/connection_ledger.rs
+++ b/crates/anvilhub-coord/tests/connection_ledger.rs
@@ -151,3 +151,22 @@
     assert_eq!(ledger.set_share(2).len(), 4);
     assert_eq!(ledger.held(), 2);
 }
+
+/// Guards against an unknown outcome of a slow non-idempotent request whose connection is taken for silent.
+#[test]
+fn kept_connection_survives() {
+    let mut ledger = ConnectionLedger::new(4);
+    let start = ClockTime::from_millis(10_000);
+    for id in [1, 2] {
+        assert_eq!(ledger.acquire(start, NonIdempotent), ConnectionPlan::Open);
+        ledger.opened(start, ConnectionId(id));
+    }
+    ledger.keep_waiting(ConnectionId(1));
+    let late = ClockTime::from_millis(15_000);
+    assert!(ledger.reserve());
+    ledger.opened(late, ConnectionId(3));
+
+    let report = ledger.check(late, Duration::from_secs(1));
+
+    assert_eq!(report.close, [ConnectionId(2)]);
+}
--- a/crates/anvilhubd/src/pool/connection_lease.rs
+++ b/crates/anvilhubd/src/pool/connection_lease.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Waits for the answer until the deadline, even when the connection seems to be silent.
+    pub(super) fn keep_waiting(&self) {
+        self.link.keep_waiting(self.id);
+    }
+
     /// Waits until the connection takes a request; `false` when it was closed meanwhile.
     pub(super) async fn is_ready(&mut self) -> bool {
         match &mut self.connection {
--- a/crates/anvilhubd/src/pool/upstream_link.rs
+++ b/crates/anvilhubd/src/pool/upstream_link.rs
@@ -145,6 +145,11 @@
         self.state.with(|state| state.ledger.is_full())
     }
 
+    /// Exempts a busy connection from the check for silence.
+    pub(super) fn keep_waiting(&self, id: ConnectionId) {
+        self.state.with(|state| state.ledger.keep_waiting(id));
+    }
+
     /// Makes idle connections suspect, such as after a pause of this process.
     pub(crate) fn doubt(&self) {
         self.state.with(|state| state.ledger.doubt_all());
--- a/crates/anvilhubd/src/pool/upstream_pool.rs
+++ b/crates/anvilhubd/src/pool/upstream_pool.rs
@@ -56,14 +56,17 @@
         patience: Duration,
     ) -> Result<ConnectionLease> {
         let link = self.link(address);
-        timeout(patience, link.acquire(repeat))
-            .await
-            .unwrap_or_else(|_| {
-                Err(PoolError::Unconnected {
-                    address,
-                    reason: "every connection of the share was in use".to_owned(),
-                })
+        let lease = timeout(patience, link.acquire(repeat)).await;
+        let lease = lease.unwrap_or_else(|_| {
+            Err(PoolError::Unconnected {
+                address,
+                reason: "every connection of the share was in use".to_owned(),
             })
+        })?;
+        if repeat == RepeatPolicy::NonIdempotent {
+            lease.keep_waiting();
+        }
+        Ok(lease)
     }
 
     /// Says whether every connection of the share to an upstream carries a request.
