Let a settling sheet finish before the next one settles

Cause: a higher version replaced the candidate and began a new settling time. A burst of publications, one every 100 ms, kept version 1 in force until its end, and a removal that version 2 confirmed was refused in version 3, which was checked against version 1. A watch shows a value once, so version 3 would not have come back.

Change: a sheet above a settling candidate waits, the newest one only, and becomes the candidate when the one before it is accepted or refused. A candidate that has not begun to settle, or that would revert a sheet seen in force, is replaced as before. MemberTable also forgets unlisted instances when the list is confirmed without a change.

Ruled out: passing the settling time on to the replacing sheet (peers would not hold it before it is accepted).

--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -29,6 +29,9 @@
     pub(super) settings: AcceptorSettings,
     pub(super) in_force: Option<Arc<AcceptedSheet>>,
     pub(super) candidate: Option<CandidateSheet>,
+    /// A sheet above the candidate, which becomes the candidate afterwards. A burst of publications would
+    /// otherwise restart the settling time again and again.
+    pub(super) next_candidate: Option<CandidateSheet>,
     pub(super) refusal: Option<Refusal>,
     pub(super) peers: PeerLedger,
     pub(super) fetch: Option<PendingFetch>,
@@ -58,6 +61,7 @@
             settings,
             in_force: None,
             candidate: None,
+            next_candidate: None,
             refusal: None,
             peers: PeerLedger::default(),
             fetch: None,
@@ -208,6 +212,7 @@
         self.expire_fetch(now);
         self.start_fetch(now, actions);
         self.settle(now, actions);
+        self.promote_next(actions);
         self.finish_learning(now);
         self.query_peers(now, actions);
         self.update_alarms(actions);
@@ -226,10 +231,7 @@
             return;
         }
         let is_lost = self.lost_sheet().is_some();
-        let is_overtaken = self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| Some(fetch.stamp) > self.candidate());
+        let is_overtaken = self.is_overtaken();
         let Some(candidate) = &mut self.candidate else {
             return;
         };
@@ -244,6 +246,16 @@
         self.accept_candidate(actions);
     }
 
+    /// Says whether a fetch is under way whose sheet would displace the candidate.
+    fn is_overtaken(&self) -> bool {
+        let (Some(fetch), Some(candidate)) = (&self.fetch, self.candidate()) else {
+            return false;
+        };
+        let accepted = self.peers.best_accepted().map(|(best, _)| best);
+        let is_rival = fetch.stamp.version == candidate.version;
+        fetch.stamp > candidate && (is_rival || accepted >= Some(fetch.stamp))
+    }
+
     /// Says whether a peer has a sheet in force that takes precedence and that can be fetched.
     fn is_behind(&self) -> bool {
         let best = self.peers.best_accepted();
@@ -285,7 +297,7 @@
     }
 
     /// A sheet that a peer had in force and that the candidate would revert.
-    fn lost_sheet(&self) -> Option<SheetStamp> {
+    pub(super) fn lost_sheet(&self) -> Option<SheetStamp> {
         let candidate = self.candidate()?;
         let seen = self.highest_seen.filter(|_| self.in_force.is_none())?;
         let reverts = candidate.version < seen.version || candidate.conflicts_with(&seen);
--- a/crates/anvilhub-coord/src/configuration/sheet_fetch.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_fetch.rs
@@ -108,7 +108,7 @@
         }
         let (stamp, peer) = self.peers.best_candidate()?;
         let is_wanted = self.is_successor(stamp)
-            && Some(stamp) > self.candidate()
+            && Some(stamp) > self.highest_candidate()
             && !self.was_refused(stamp.digest);
         is_wanted.then_some((stamp, peer))
     }
@@ -124,10 +124,10 @@
             return None;
         }
         let in_force = self.in_force.as_ref().map(|sheet| sheet.sheet());
-        let candidate = self.candidate.as_ref().map(|candidate| &candidate.sheet);
+        let candidates = self.candidate.iter().chain(&self.next_candidate);
         in_force
             .into_iter()
-            .chain(candidate)
+            .chain(candidates.map(|candidate| &candidate.sheet))
             .find(|sheet| sheet.digest == stamp.digest)
             .map(|sheet| sheet.clone().adopt(stamp.revision))
     }
--- a/crates/anvilhub-coord/src/configuration/sheet_offer.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_offer.rs
@@ -74,16 +74,56 @@
             actions.push(SheetAction::IgnoreStale { revision, version });
             return;
         }
-        let faults = self.step_faults(&candidate.sheet, stamp);
+        let waits = self.waits_for_candidate(stamp);
+        // The step of a sheet that waits is checked when the one before it is in force or refused.
+        let faults = match waits {
+            true => self.conflict_faults(stamp),
+            false => self.step_faults(&candidate.sheet, stamp),
+        };
         if !faults.is_empty() {
             self.refuse(stamp, faults, actions);
             return;
         }
-        if let Some(rival) = self.candidate.replace(candidate) {
+        let slot = match waits {
+            true => &mut self.next_candidate,
+            false => &mut self.candidate,
+        };
+        if let Some(rival) = slot.replace(candidate) {
             self.report_rival(rival.stamp(), stamp, actions);
         }
     }
 
+    /// Says whether a candidate of a lower version settles and comes first. One that may not be accepted, as
+    /// it would revert a sheet that a peer had in force, gives way.
+    fn waits_for_candidate(&self, stamp: SheetStamp) -> bool {
+        let is_settling = |candidate: &CandidateSheet| {
+            candidate.settles_at.is_some() && candidate.sheet.version < stamp.version
+        };
+        self.candidate.as_ref().is_some_and(is_settling) && self.lost_sheet().is_none()
+    }
+
+    /// Makes the waiting sheet the candidate when there is none.
+    pub(super) fn promote_next(&mut self, actions: &mut Vec<SheetAction>) {
+        if self.candidate.is_some() {
+            return;
+        }
+        if let Some(next) = self.next_candidate.take() {
+            self.offer(next.sheet, next.revision, actions);
+        }
+    }
+
+    /// The candidate or the sheet that waits behind it.
+    pub(super) fn highest_candidate(&self) -> Option<SheetStamp> {
+        let next = self.next_candidate.as_ref().map(CandidateSheet::stamp);
+        self.candidate().max(next)
+    }
+
+    /// Stamps of the sheet in force, the candidate and the sheet that waits behind it.
+    fn own_stamps(&self) -> impl Iterator<Item = SheetStamp> {
+        let next = self.next_candidate.as_ref().map(CandidateSheet::stamp);
+        [self.stamp(), self.candidate(), next].into_iter().flatten()
+    }
+
     /// Accepts the settled candidate.
     pub(super) fn accept_candidate(&mut self, actions: &mut Vec<SheetAction>) {
         let Some(candidate) = self.candidate.take() else {
@@ -107,10 +147,11 @@
             return;
         };
         let stamp = candidate.stamp();
-        if self.is_held(stamp.digest) {
+        let own = self.stamp();
+        if own.is_some_and(|own| own.digest == stamp.digest) {
             return;
         }
-        if self.is_older(stamp) {
+        if own.is_some_and(|own| stamp.version < own.version) {
             self.platform_stale = self.stale_alarm(&candidate.sheet);
             actions.push(SheetAction::IgnoreStale {
                 revision: stamp.revision,
@@ -147,33 +188,24 @@
     }
 
     fn is_held(&self, digest: SheetDigest) -> bool {
-        let candidate = self.candidate();
-        let held = self.stamp().into_iter().chain(candidate);
-        held.into_iter().any(|stamp| stamp.digest == digest)
+        self.own_stamps().any(|own| own.digest == digest)
     }
 
-    /// Says whether `stamp` is below the sheet in force or the candidate.
+    /// Says whether `stamp` is below the sheet in force or a candidate.
     fn is_older(&self, stamp: SheetStamp) -> bool {
         if mutation::is_active("accept_older_sheet") {
             return false;
         }
-        let versions = self.stamp().into_iter().chain(self.candidate());
-        versions.into_iter().any(|own| stamp.version < own.version)
+        self.own_stamps().any(|own| stamp.version < own.version)
     }
 
     fn step_faults(&mut self, sheet: &CheckedSheet, stamp: SheetStamp) -> Vec<SheetFault> {
         if mutation::is_active("accept_older_sheet") {
             return Vec::new();
         }
-        let own = self.stamp();
-        let rival = self.candidate().filter(|rival| *rival > stamp);
-        let conflict = own
-            .into_iter()
-            .chain(rival)
-            .find(|other| other.conflicts_with(&stamp));
-        if let Some(other) = conflict {
-            self.conflict = Some(other);
-            return vec![conflict_fault(stamp, other)];
+        let faults = self.conflict_faults(stamp);
+        if !faults.is_empty() {
+            return faults;
         }
         let Some(in_force) = &self.in_force else {
             return Vec::new();
@@ -182,6 +214,19 @@
         step.check().err().unwrap_or_default()
     }
 
+    fn conflict_faults(&mut self, stamp: SheetStamp) -> Vec<SheetFault> {
+        let in_force = self.stamp();
+        let conflict = self
+            .own_stamps()
+            .filter(|own| Some(*own) == in_force || *own > stamp)
+            .find(|own| own.conflicts_with(&stamp));
+        let Some(other) = conflict else {
+            return Vec::new();
+        };
+        self.conflict = Some(other);
+        vec![conflict_fault(stamp, other)]
+    }
+
     /// Reports a candidate that gave way to another one of the same version.
     fn report_rival(
         &mut self,
--- a/crates/anvilhub-coord/src/membership/member_table.rs
+++ b/crates/anvilhub-coord/src/membership/member_table.rs
@@ -81,6 +81,7 @@
     /// Notes that the platform confirmed the present list, as a watch without news does.
     pub fn confirm_list(&mut self, now: ClockTime) {
         self.list = self.list.map(|(revision, _)| (revision, now));
+        self.prune(now);
     }
 
     /// Notes that a peer answered an exchange or began one.
--- a/crates/anvilhub-coord/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-coord/tests/matrix/config_in_force.rs
@@ -8,7 +8,7 @@
 use anvilhub_coord::configuration::SheetInput;
 use anvilhub_coord::ids::InstanceId;
 
-use crate::fleet::{Fleet, id};
+use crate::fleet::{Fleet, id, sheet};
 
 /// Steps of 100 ms from the publication to the time at which it is in force without a fault.
 const PUBLICATION_STEPS: usize = 14;
@@ -250,6 +250,45 @@
     );
 }
 
+#[test]
+fn burst_of_changes() {
+    // A new version every 100 ms: each round of acceptance must end although the next sheet is there.
+    let mut fleet = settled_fleet();
+    for version in 2..32 {
+        fleet.publish(9 + version, version, 0);
+        for name in names() {
+            fleet.read(&name);
+        }
+        fleet.step();
+    }
+    let during: Vec<Option<u64>> = names().iter().map(|name| fleet.version(name)).collect();
+    assert!(
+        during.iter().all(|version| *version >= Some(20)),
+        "{during:?}"
+    );
+    fleet.run(SPREAD_LIMIT);
+    assert!(names().iter().all(|name| fleet.version(name) == Some(31)));
+}
+
+#[test]
+fn removal_in_burst() {
+    // A confirmed removal in version 2 and a further change at once: version 3 is checked against 2, not 1.
+    // Each value is read once, as a watch does.
+    let mut fleet = Fleet::new(&["a"]);
+    fleet.platform = Some((10, sheet(1, 0, &["stock", "portal"])));
+    fleet.run(Duration::from_secs(3));
+    let text = String::from_utf8(sheet(2, 0, &["stock"])).unwrap();
+    let confirmed = text.replacen('{', r#"{"confirm_removals":["portal"],"#, 1);
+    fleet.platform = Some((11, confirmed.into_bytes()));
+    fleet.read(&id("a"));
+    fleet.publish(12, 3, 0);
+    fleet.read(&id("a"));
+    for _ in 0..4 {
+        fleet.tick(Duration::from_millis(600));
+    }
+    assert_eq!(fleet.version(&id("a")), Some(3));
+}
+
 #[test]
 fn lost_fetches() {
     // Connections to peers that go silent during a fetch.
