--- a/crates/anvilhubd/src/peer/peer_server.rs
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -71,7 +71,7 @@
             .handler
             .answer(message.query, RequestOrigin::Peer)
             .await
-            .answer)
+            .1)
     }
 
     async fn issue_ticket(&self, message: IssueMessage) -> Result<TicketEntry, ErrorObjectOwned> {
--- a/crates/anvilhubd/src/routes/shard_route.rs
+++ b/crates/anvilhubd/src/routes/shard_route.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -24,6 +25,7 @@
     /// Delay of a hedge in microseconds, zero for none. Computed from time to time, since a quantile costs
     /// more than a sub-request should pay.
     hedge_delay: Arc<AtomicU64>,
+    owner: Arc<RouteCell<Option<SocketAddr>>>,
 }
 
 impl ShardRoute {
@@ -50,6 +52,7 @@
             ),
             latencies: previous.map_or_else(Arc::default, |shard| Arc::clone(&shard.latencies)),
             hedge_delay: previous.map_or_else(Arc::default, |shard| Arc::clone(&shard.hedge_delay)),
+            owner: previous.map_or_else(Arc::default, |shard| Arc::clone(&shard.owner)),
         }
     }
 
@@ -94,6 +97,20 @@
         }
     }
 
+    /// Median latency of first attempts.
+    pub(crate) fn usual_latency(&self) -> Option<Duration> {
+        self.latencies.with(|latencies| latencies.quantile(0.5))
+    }
+
+    /// Peer address of the instance that queues for the shard, `None` when it is this one.
+    pub(crate) fn owner(&self) -> Option<SocketAddr> {
+        self.owner.with(|owner| *owner)
+    }
+
+    pub(crate) fn set_owner(&self, address: Option<SocketAddr>) {
+        self.owner.with(|owner| *owner = address);
+    }
+
     pub(crate) fn hedge_delay(&self) -> Option<Duration> {
         match self.hedge_delay.load(Ordering::Relaxed) {
             0 => None,
--- a/crates/anvilhubd/src/routes/upstream_route.rs
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -70,7 +70,6 @@
         self.state.with(|state| state.range)
     }
 
-    #[allow(dead_code, reason = "called by the members controller")]
     pub(crate) fn mark_leaving(&self, signal: LeavingSignal) {
         self.state.with(|state| state.view.mark_leaving(signal));
     }
