--- a/crates/anvilhub-coord/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-coord/tests/matrix/config_in_force.rs
@@ -290,7 +290,7 @@
 }
 
 #[test]
-fn lost_fetches() {
+fn silent_connection() {
     // Connections to peers that go silent during a fetch.
     at_every_step(
         |fleet| fleet.lost_fetches = 5,
