Take a connection for silent after 500 ms

Cause: with 1 s, a request with a deadline of 1 s ran into its timeout first, and the silence was never noted. Change: LEAST_SILENCE is 500 ms, still above an answer of 20 ms that is slowed tenfold.

--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -32,7 +32,7 @@
 const MOST_POLLS: usize = 32;
 /// Shortest time without a byte after which a connection may be silent. Below it, an upstream that is slowed
 /// tenfold would look silent, since its load report answers at once; a hedge covers the request meanwhile.
-const LEAST_SILENCE: Duration = Duration::from_millis(1_000);
+const LEAST_SILENCE: Duration = Duration::from_millis(500);
 /// A connection that is this many times later than the upstream's usual answer may be silent.
 const SILENCE_FACTOR: u32 = 8;
 /// Warm connections per slot: one that carries a request, and one for its successor or a cancellation.
