--- a/crates/anvilhub-dev/src/standin/upstream/replica_server.rs
+++ b/crates/anvilhub-dev/src/standin/upstream/replica_server.rs
@@ -33,6 +33,8 @@
     address: SocketAddr,
     state: Mutex<ReplicaState>,
     life: watch::Sender<ReplicaLife>,
+    /// Whether the address is open now; it follows the life with a short delay.
+    listening: watch::Sender<bool>,
 }
 
 impl ReplicaServer {
@@ -42,6 +44,7 @@
             id,
             address,
             life: watch::Sender::default(),
+            listening: watch::Sender::default(),
         })
     }
 
@@ -181,9 +184,19 @@
         }
     }
 
+    /// Waits until the address is open or closed as the life says, and killed connections are gone.
+    pub(crate) async fn settled(&self) {
+        let mut listening = self.listening.subscribe();
+        // The sender lives in `self`, so the channel stays open.
+        let _ = listening
+            .wait_for(|listening| *listening == self.life().listens())
+            .await;
+    }
+
     /// Accepts connections until the replica stops listening, and then ends those that are open.
     async fn accept_all(self: &Arc<Self>, listener: TcpListener) {
         let mut connections = JoinSet::new();
+        self.listening.send_replace(true);
         loop {
             tokio::select! {
                 () = self.wait_for(|life| !life.listens()) => break,
@@ -201,6 +214,7 @@
             let _ = timeout(CLOSE_TIME, ended).await;
         }
         connections.shutdown().await;
+        self.listening.send_replace(false);
     }
 
     fn spawn_connection(self: &Arc<Self>, connections: &mut JoinSet<()>, stream: TcpStream) {
--- a/crates/anvilhub-dev/src/standin/upstream/upstream_fleet.rs
+++ b/crates/anvilhub-dev/src/standin/upstream/upstream_fleet.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::replica_server::ReplicaServer;
 use super::{EffectRecord, FleetCommand, ReplicaSettings};
@@ -20,6 +20,9 @@
 /// Distance between two samples of the reports that lag.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest wait of a command until its replicas listen or not as it says.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// Every replica of a sheet, in one process.
 pub struct UpstreamFleet {
     members: Vec<FleetMember>,
@@ -86,12 +89,7 @@
     ///
     /// Fails, with nothing changed, when it selects no replica or a setting is bad.
     pub fn apply(&self, command: &FleetCommand) -> Result<usize> {
-        let selected: Vec<_> = self
-            .members
-            .iter()
-            .filter(|member| member.is_selected(command))
-            .map(|member| &member.server)
-            .collect();
+        let selected = self.selected(command);
         ensure!(
             !selected.is_empty(),
             "the command selects no replica; check its names against the sheet"
@@ -111,6 +109,27 @@
         Ok(selected.len())
     }
 
+    fn selected(&self, command: &FleetCommand) -> Vec<&Arc<ReplicaServer>> {
+        self.members
+            .iter()
+            .filter(|member| member.is_selected(command))
+            .map(|member| &member.server)
+            .collect()
+    }
+
+    /// Waits until killed and revived replicas are so for callers too.
+    fn settle(&self, command: &FleetCommand) {
+        let settled = async {
+            for server in self.selected(command) {
+                server.settled().await;
+            }
+        };
+        // A port that another program took keeps a replica from listening for good.
+        let _ = self
+            .runtime
+            .block_on(async { timeout(SETTLE_TIME, settled).await });
+    }
+
     fn handle(&self, request: &mut Request<Body>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
@@ -127,7 +146,10 @@
             Err(error) => return error_reply(StatusCode::BAD_REQUEST, format!("{error:#}")),
         };
         match self.apply(&command) {
-            Ok(changed) => json_reply(StatusCode::OK, &json!({ "changed": changed })),
+            Ok(changed) => {
+                self.settle(&command);
+                json_reply(StatusCode::OK, &json!({ "changed": changed }))
+            }
             Err(error) => error_reply(StatusCode::BAD_REQUEST, format!("{error:#}")),
         }
     }
--- a/crates/anvilhub-dev/tests/matrix/true_not_run.rs
+++ b/crates/anvilhub-dev/tests/matrix/true_not_run.rs
@@ -1,23 +1,12 @@
 //! Guards against a refusal that says "not run" for a booking that took effect, or does so later.
 
-use std::net::TcpStream;
-
 use anvilhub_coord::border::query::QueryOutcome;
-use anvilhub_dev::process::{QueryCall, TestTier, wait_until};
+use anvilhub_dev::process::QueryCall;
 use eyre::Result;
 use serde_json::json;
 
 use super::answer_check::{check_effects, start_tier};
 
-fn dispatch_addresses(tier: &TestTier) -> impl Iterator<Item = &str> {
-    let services = tier.sheet.services.iter();
-    services
-        .filter(|service| service.name.as_str() == "dispatch")
-        .flat_map(|service| &service.shards)
-        .flat_map(|shard| &shard.replicas)
-        .map(|replica| replica.address.as_str())
-}
-
 #[test]
 fn replica_lost() -> Result<()> {
     let tier = start_tier(json!({}))?;
@@ -46,12 +35,6 @@
     }
     tier.upstreams
         .command(json!({ "service": "dispatch", "do": [{ "action": "kill" }] }))?;
-    wait_until("the death of all replicas", || {
-        let mut replicas = dispatch_addresses(&tier);
-        replicas
-            .all(|address| TcpStream::connect(address).is_err())
-            .then_some(())
-    })?;
     let call = QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(entry(0))?;
     let (_, nobody) = call.send(entry(0))?;
     tier.upstreams.command(
--- a/crates/anvilhub-dev/tests/standin/replica_answers.rs
+++ b/crates/anvilhub-dev/tests/standin/replica_answers.rs
@@ -51,12 +51,10 @@
     let refused = rig.query(&sub_request("refused", true)?);
     rig.upstreams
         .command(json!({ "set": { "service_us": 100 }, "do": [{ "action": "revive" }] }))?;
-    wait_until("the revival", || {
-        let request = sub_request("revived", true).ok()?;
-        rig.answer(&request).ok()
-    })?;
+    let (revived, _) = rig.query(&sub_request("revived", true)?)?;
 
     assert!(answer.is_err() && refused.is_err());
+    assert_eq!(revived, 200);
     assert_eq!(rig.upstreams.effects_of("lost")?, 0);
     Ok(())
 }
