--- a/crates/anvilhub-coord/tests/matrix/mod.rs
+++ b/crates/anvilhub-coord/tests/matrix/mod.rs
@@ -1,6 +1,6 @@
 //! The fault matrix: one module for each guarantee, one test for each fault.
 //!
-//! A test runs the scenarios of its fault (`tests/scenarios/<fault>.txt`) and judges what callers observe by
+//! A test runs the scenarios of its fault (`tests/fault_scenarios/<fault>.txt`) and judges what callers observe by
 //! its guarantee alone.
 
 /// Defines a test for each fault.
