Prove that a planned stop waits for its tickets

A stopping instance owns tickets that nobody else can run. If it ends while a request runs, or before an unexpired ticket's resend, the caller gets `unknown` for a stop that should interrupt nobody.

The process tests stop whole instances; this covers the decision of when they may end.

--- a/crates/anvilhub-coord/src/ticket/ticket_table.rs
+++ b/crates/anvilhub-coord/src/ticket/ticket_table.rs
@@ -189,6 +189,7 @@
         let mut report = DrainReport::default();
         for record in self.records.values() {
             match record.stage {
+                TicketStage::Running(_) if mutation::is_active("drain_skips_running") => {}
                 TicketStage::Running(_) => report.running += 1,
                 _ if now >= record.expires_at => {}
                 TicketStage::Issued => report.issued += 1,
--- a/crates/anvilhub-coord/tests/matrix/mod.rs
+++ b/crates/anvilhub-coord/tests/matrix/mod.rs
@@ -18,6 +18,7 @@
 
 pub mod at_most_once;
 pub mod config_in_force;
+pub mod graceful_stop;
 pub mod leaving_upstream;
 pub mod one_snapshot;
 pub mod own_answer;
--- a/crates/anvilhub-coord/tests/matrix/one_snapshot.rs
+++ b/crates/anvilhub-coord/tests/matrix/one_snapshot.rs
@@ -5,6 +5,7 @@
 const JUDGE: HistoryJudge = HistoryJudge {
     request: None,
     fan_out: Some(breach_of_snapshot),
+    stops: &[],
 };
 
 cells! {
--- a/crates/anvilhub-coord/tests/matrix/own_answer.rs
+++ b/crates/anvilhub-coord/tests/matrix/own_answer.rs
@@ -5,6 +5,7 @@
 const JUDGE: HistoryJudge = HistoryJudge {
     request: Some(RequestWorld::breach_of_own),
     fan_out: Some(breach_of_own),
+    stops: &[],
 };
 
 cells! {
--- a/crates/anvilhub-coord/tests/matrix/true_not_run.rs
+++ b/crates/anvilhub-coord/tests/matrix/true_not_run.rs
@@ -5,6 +5,7 @@
 const JUDGE: HistoryJudge = HistoryJudge {
     request: Some(RequestWorld::breach_of_not_run),
     fan_out: None,
+    stops: &[],
 };
 
 cells! {
--- a/crates/anvilhub-coord/tests/scenario/mod.rs
+++ b/crates/anvilhub-coord/tests/scenario/mod.rs
@@ -47,6 +47,8 @@
 pub struct HistoryJudge {
     pub request: Option<fn(&RequestWorld) -> Option<String>>,
     pub fan_out: Option<fn(&GatheredAnswer) -> Option<String>>,
+    /// Steps of a request at which its owner is stopped by plan, one in each run. None stops it when empty.
+    pub stops: &'static [usize],
 }
 
 /// One case of a scenario file.
@@ -73,7 +75,7 @@
     /// # Panics
     ///
     /// Panics at the first history that breaches `judge`.
-    pub fn run(&self, judge: HistoryJudge, mut order: EventOrder) -> String {
+    pub fn run(&self, judge: HistoryJudge, stop: Option<usize>, mut order: EventOrder) -> String {
         let lines: Vec<_> = self.input.lines().collect();
         let (first, second) = match lines.iter().position(|line| *line == "then") {
             Some(split) => (&lines[..split], Some(&lines[split + 1..])),
@@ -89,8 +91,9 @@
             let commands = |step: usize| {
                 let first = first.iter().filter(|_| step == at.0);
                 let second = second.unwrap_or_default().iter();
-                let lines = first.chain(second.filter(|_| step == at.1));
-                lines.copied().collect::<Vec<_>>()
+                let stop = stop.filter(|stop| *stop == step).map(|_| "stop e1");
+                let lines = first.chain(second.filter(|_| step == at.1)).copied();
+                stop.into_iter().chain(lines).collect::<Vec<_>>()
             };
             let (summary, breach) = run(&commands, judge, &mut order);
             assert_eq!(breach, None, "{} at {label}: {summary}", self.input);
@@ -134,9 +137,17 @@
     let mut judged = 0;
     for case in ScenarioCase::parse(&text).filter(|case| case.is_judged(judge)) {
         judged += 1;
-        case.run(judge, EventOrder::first());
-        for offset in 0..RANDOM_ORDERS {
-            case.run(judge, EventOrder::random(seed.wrapping_add(offset)));
+        let stops = judge.stops.iter().copied().map(Some);
+        let stops: Vec<_> = if judge.stops.is_empty() {
+            vec![None]
+        } else {
+            stops.collect()
+        };
+        for stop in stops {
+            case.run(judge, stop, EventOrder::first());
+            for offset in 0..RANDOM_ORDERS {
+                case.run(judge, stop, EventOrder::random(seed.wrapping_add(offset)));
+            }
         }
     }
     assert!(judged > 0, "no scenario of {path} shows the guarantee");
--- a/crates/anvilhub-coord/tests/scenario/request_faults.rs
+++ b/crates/anvilhub-coord/tests/scenario/request_faults.rs
@@ -13,6 +13,23 @@
             .retain(|message| message.to != Node::Entry(index));
     }
 
+    /// Ends a stopping instance that has neither tickets nor requests.
+    pub(super) fn end_stopped(&mut self, index: usize) {
+        let is_addressed = |message: &Message| match message.body {
+            Body::Request(_) => message.to == Node::Entry(index),
+            _ => false,
+        };
+        let entry = &mut self.entries[index];
+        let is_idle = entry.forwards.is_empty() && !self.messages.iter().any(is_addressed);
+        if entry.stopping
+            && !entry.paused
+            && is_idle
+            && entry.table.drain_report(self.now).owned() == 0
+        {
+            self.kill(index);
+        }
+    }
+
     /// Lets `time` pass.
     pub fn advance(&mut self, time: Duration) {
         self.now = self.now + time;
@@ -29,6 +46,11 @@
             ["resend", entry] => self.send(entry_index(entry), self.last_ticket()),
             ["kill", entry] => self.kill(entry_index(entry)),
             ["cut", from, to] => drop(self.cuts.insert((node(from), node(to)))),
+            ["stop", entry] => {
+                let entry = &mut self.entries[entry_index(entry)];
+                entry.table.drain();
+                entry.stopping = true;
+            }
             ["drain", entry] => self.entries[entry_index(entry)].table.drain(),
             ["unlist", entry] => self.entries[entry_index(entry)].listed = false,
             ["stale-sheet", entry] => self.entries[entry_index(entry)].stale_sheet = true,
--- a/crates/anvilhub-coord/tests/scenario/request_judge.rs
+++ b/crates/anvilhub-coord/tests/scenario/request_judge.rs
@@ -1,10 +1,17 @@
 //! What callers of a ticketed request must never observe.
 
-use anvilhub_coord::border::query::QueryOutcome;
+use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome};
 
 use super::request_message::request_id;
 use super::request_world::RequestWorld;
 
+/// Errors of an instance that has lost a ticket.
+const FORGOTTEN: [&str; 3] = [
+    "incarnation_ended",
+    "ticket_wrong_owner",
+    "ticket_not_on_record",
+];
+
 impl RequestWorld {
     /// The breach of "at most once" that has happened, if any.
     pub fn breach_of_once(&self) -> Option<String> {
@@ -42,6 +49,24 @@
         Some(format!("attempt {} got {:?}", wrong.0, wrong.1))
     }
 
+    /// The attempt that a planned stop broke off or whose ticket it forgot, if any. A resend after the
+    /// ticket's expiry has no claim.
+    pub fn breach_of_stop(&self) -> Option<String> {
+        let is_forgotten = |answer: &QueryAnswer| {
+            let error = answer.error.as_ref();
+            error.is_some_and(|error| FORGOTTEN.contains(&error.code.as_str()))
+        };
+        let attempt = self.attempts.iter().find(|attempt| {
+            let key = (
+                attempt.ticket.owner.incarnation,
+                attempt.ticket.number.get(),
+            );
+            let has_claim = attempt.sent_at < self.expiries[&key];
+            has_claim && attempt.answer.as_ref().is_none_or(is_forgotten)
+        })?;
+        Some(format!("the stop left {:?}", attempt.answer))
+    }
+
     /// The outcomes of the attempts in order, and the number of effects.
     pub fn summary(&self) -> String {
         let outcomes = self.attempts.iter().map(|attempt| {
--- a/crates/anvilhub-coord/tests/scenario/request_world.rs
+++ b/crates/anvilhub-coord/tests/scenario/request_world.rs
@@ -23,6 +23,8 @@
 pub(super) struct Entry {
     pub(super) table: TicketTable,
     pub(super) paused: bool,
+    /// The instance ends by plan as soon as it owns nothing.
+    pub(super) stopping: bool,
     pub(super) listed: bool,
     /// The sheet still names a replica that has left.
     pub(super) stale_sheet: bool,
@@ -44,6 +46,7 @@
 #[derive(Debug)]
 pub struct Attempt {
     pub(super) ticket: RequestTicket,
+    pub(super) sent_at: ClockTime,
     pub answer: Option<QueryAnswer>,
 }
 
@@ -122,6 +125,7 @@
         Entry {
             table: TicketTable::new(identity, TicketLimits::default()),
             paused: false,
+            stopping: false,
             listed: true,
             stale_sheet: false,
             runs: BTreeMap::new(),
@@ -151,6 +155,7 @@
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             ticket,
+            sent_at: self.now,
             answer: None,
         });
         self.push(Node::Caller, Node::Entry(via), Body::Request(attempt));
@@ -210,6 +215,13 @@
     }
 
     pub fn apply(&mut self, action: Action) {
+        self.take_step(action);
+        for index in 0..self.entries.len() {
+            self.end_stopped(index);
+        }
+    }
+
+    fn take_step(&mut self, action: Action) {
         match action {
             Action::Deliver(index) => self.deliver(index),
             Action::Send(index, number) => self.try_run(index, number),
--- a/crates/anvilhub-coord/tests/scenario_files.rs
+++ b/crates/anvilhub-coord/tests/scenario_files.rs
@@ -13,7 +13,7 @@
                 directive: &case.directive,
                 input: case.input.trim_end(),
             };
-            case.run(HistoryJudge::default(), EventOrder::first())
+            case.run(HistoryJudge::default(), None, EventOrder::first())
         });
     });
 }
