Generate the fault matrix from the names of its tests

A cell without a test needs a line in docs/fault-matrix-exempt.txt: `never` for a fault that cannot touch the guarantee, `open` for a proof that is missing.

--- a/crates/anvilhub-dev/src/lib.rs
+++ b/crates/anvilhub-dev/src/lib.rs
@@ -1,5 +1,6 @@
 //! Development tools of anvilhub.
 
 pub mod bench;
+pub mod matrix;
 pub mod process;
 pub mod standin;
--- /dev/null
+++ b/crates/anvilhub-dev/src/matrix/matrix_cell.rs
@@ -0,0 +1,95 @@
+use derive_more::Display;
+
+/// What must always hold (section 2 of the design).
+pub const GUARANTEES: [&str; 8] = [
+    "one_snapshot",
+    "true_coverage",
+    "own_answer",
+    "true_not_run",
+    "at_most_once",
+    "leaving_upstream",
+    "graceful_stop",
+    "config_in_force",
+];
+
+/// What fails (section 2 of the design).
+pub const FAULTS: [&str; 15] = [
+    "straggler_shard",
+    "replica_lost",
+    "repartition",
+    "config_down",
+    "config_stale",
+    "process_paused",
+    "entry_partition",
+    "upstream_partition",
+    "silent_connection",
+    "instance_killed",
+    "planned_stop",
+    "snapshot_change",
+    "late_answer",
+    "lagging_list",
+    "misleading_load",
+];
+
+/// One guarantee under one fault, a pair of faults, or another circumstance.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[display("{guarantee} {fault}")]
+pub struct MatrixCell {
+    /// One of [`GUARANTEES`].
+    pub guarantee: &'static str,
+    /// One of [`FAULTS`], a pair such as `paused_and_killed`, or the test's own name.
+    pub fault: String,
+}
+
+impl MatrixCell {
+    /// The cell that the test `path` proves, such as `matrix::at_most_once::late_answer_at_each_step`.
+    /// `None` for a test outside the matrix.
+    ///
+    /// A module counts for the guarantee that its name starts with. A test counts for the fault that its
+    /// name starts with, unless `_and_` follows: that is a pair.
+    pub fn of_test(path: &str) -> Option<Self> {
+        let (before, path) = path.split_once("matrix::")?;
+        if !before.is_empty() && !before.ends_with("::") {
+            return None;
+        }
+        let (module, test) = path.split_once("::")?;
+        let starts = |guarantee: &&&str| module.starts_with(**guarantee);
+        let guarantee = GUARANTEES.iter().find(starts)?;
+        let test = test.rsplit("::").next().unwrap_or(test);
+        let test = test.trim_end_matches("_at_each_step");
+        let is_single = |fault: &&&str| {
+            let rest = test.strip_prefix(**fault);
+            rest.is_some_and(|rest| !rest.starts_with("_and_"))
+        };
+        let fault = FAULTS.iter().find(is_single).map_or(test, |fault| *fault);
+        Some(Self {
+            guarantee,
+            fault: fault.to_owned(),
+        })
+    }
+
+    /// The cell that a line names, when both names are known or the fault is a pair.
+    pub(crate) fn of_names(guarantee: &str, fault: &str) -> Option<Self> {
+        let guarantee = GUARANTEES.iter().find(|known| **known == guarantee)?;
+        let is_known = FAULTS.contains(&fault) || fault.contains("_and_");
+        is_known.then(|| Self {
+            guarantee,
+            fault: fault.to_owned(),
+        })
+    }
+
+    /// Says whether the cell is one of the eight by fifteen that need a proof or a reason.
+    pub fn is_required(&self) -> bool {
+        FAULTS.contains(&self.fault.as_str())
+    }
+
+    /// Every cell that needs a proof or a reason.
+    pub fn required() -> impl Iterator<Item = Self> {
+        GUARANTEES.iter().flat_map(|guarantee| {
+            FAULTS.iter().map(|fault| Self {
+                guarantee,
+                fault: (*fault).to_owned(),
+            })
+        })
+    }
+}
--- a/crates/anvilhub-dev/tests/lib.rs
+++ b/crates/anvilhub-dev/tests/lib.rs
@@ -1,4 +1,5 @@
 //! Process tests: they start the programs of this repository. One file a feature.
 
+mod fault_matrix;
 mod matrix;
 mod standin;
