Estimate service times by urgency class at admission

Cause: under overload the queue starts requests with just the usual service time left. That figure averaged all classes, while queues at owners serve urgent requests first, so standard and deferred ones were admitted and then expired at the owner. AdmissionGate::finish takes the urgency.

--- a/crates/anvilhub-coord/src/admission/admission_gate.rs
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -60,7 +60,7 @@
     /// Estimated wait and usual service time exceed the remaining time.
     #[display("too_late")]
     TooLate,
-    /// The deadline passed while the request waited.
+    /// The request waited until its remaining time was below what requests of its urgency need.
     #[display("expired")]
     Expired,
     /// The queue is full of requests that are at least as urgent.
@@ -152,9 +152,9 @@
         self.limit.get()
     }
 
-    /// Usual time between admission and answer.
-    pub fn usual_service(&self) -> Duration {
-        self.wait.usual_service()
+    /// Usual time between admission and answer of a request of `urgency`.
+    pub fn usual_service(&self, urgency: UrgencyClass) -> Duration {
+        self.wait.usual_service(urgency)
     }
 
     /// Decides on a request that arrives at `now`.
@@ -173,7 +173,7 @@
                 self.wait.wait(ahead, self.limit.get())
             }
         };
-        if now + estimated_wait + self.wait.usual_service() >= deadline {
+        if now + estimated_wait + self.wait.usual_service(urgency) >= deadline {
             return AdmissionArrival {
                 verdict: AdmissionVerdict::Refused(Refusal {
                     item,
@@ -197,24 +197,29 @@
     /// Counts the end of a request that was started and hands out waiting ones.
     ///
     /// `service_time` is the time since its start, also when it ended without an answer.
-    pub fn finish(&mut self, now: ClockTime, service_time: Duration) -> AdmissionRelease<T> {
+    pub fn finish(
+        &mut self,
+        now: ClockTime,
+        urgency: UrgencyClass,
+        service_time: Duration,
+    ) -> AdmissionRelease<T> {
         self.running = self.running.saturating_sub(1);
-        self.wait.record(service_time);
+        self.wait.record(urgency, service_time);
         self.limit.record(now, service_time);
         self.advance(now)
     }
 
     /// Hands out what `now` allows. Call it a few times per second even when nothing finishes.
     pub fn advance(&mut self, now: ClockTime) -> AdmissionRelease<T> {
-        let usual = self.wait.usual_service();
+        let wait = self.wait;
         let refused = self
             .queue
-            .expire(now + usual)
+            .expire(|urgency| now + wait.safe_service(urgency))
             .into_iter()
             .map(|item| Refusal {
                 item,
                 reason: RefusalReason::Expired,
-                estimated_wait: usual,
+                estimated_wait: wait.wait(0, self.limit.get()),
             })
             .collect();
         let mut start = Vec::new();
--- a/crates/anvilhub-coord/src/routing/slot_queue.rs
+++ b/crates/anvilhub-coord/src/routing/slot_queue.rs
@@ -108,7 +108,7 @@
 
     /// Hands out what `now` allows. Call it from time to time so that expired items do not hold places.
     pub fn advance(&mut self, now: ClockTime) -> SlotRelease<T> {
-        let expired = self.queue.expire(now + self.least_time);
+        let expired = self.queue.expire(|_| now + self.least_time);
         let mut start = Vec::new();
         while self.busy < self.slots {
             let Some((item, _)) = self.queue.pop() else {
--- a/crates/anvilhub-coord/src/routing/urgency_queue.rs
+++ b/crates/anvilhub-coord/src/routing/urgency_queue.rs
@@ -58,8 +58,8 @@
         self.entries.range(..=(urgency, deadline, u64::MAX)).count()
     }
 
-    /// Removes the entries whose deadline is not after `limit`.
-    pub(crate) fn expire(&mut self, limit: ClockTime) -> Vec<T> {
+    /// Removes the entries whose deadline is not after the limit of their class.
+    pub(crate) fn expire(&mut self, limit: impl Fn(UrgencyClass) -> ClockTime) -> Vec<T> {
         let classes = [
             UrgencyClass::Urgent,
             UrgencyClass::Standard,
@@ -68,7 +68,7 @@
         let mut expired = Vec::new();
         for class in classes {
             let first = (class, ClockTime(0), 0);
-            let last = (class, limit, u64::MAX);
+            let last = (class, limit(class), u64::MAX);
             while let Some((&rank, _)) = self.entries.range(first..=last).next() {
                 expired.extend(self.entries.remove(&rank));
             }
--- a/crates/anvilhub-coord/tests/admission_gate.rs
+++ b/crates/anvilhub-coord/tests/admission_gate.rs
@@ -19,7 +19,7 @@
         greatest_limit: 1,
     });
     gate.arrive(ClockTime(0), Standard, ClockTime(0) + PATIENCE, 0);
-    gate.finish(ClockTime(0) + SERVICE, SERVICE);
+    gate.finish(ClockTime(0) + SERVICE, Standard, SERVICE);
     gate
 }
 
@@ -68,7 +68,33 @@
     );
     let arrival = gate.arrive(now, Deferred, deadline, 5);
     assert_eq!(reason(&arrival.verdict), Some(RefusalReason::QueueFull));
-    assert_eq!(gate.finish(now, SERVICE).start, [4]);
+    assert_eq!(gate.finish(now, Standard, SERVICE).start, [4]);
+}
+
+#[test]
+fn slow_class_needs_more_time() {
+    let mut gate = gate(100);
+    let mut now = ClockTime(0) + SERVICE;
+    // Deferred requests take 120 ms, urgent ones 20 ms.
+    for (urgency, service) in [(Deferred, SERVICE * 6), (Urgent, SERVICE)].repeat(50) {
+        gate.arrive(now, urgency, now + PATIENCE * 5, 1);
+        now = now + service;
+        gate.finish(now, urgency, service);
+    }
+    gate.arrive(now, Urgent, now + PATIENCE, 2);
+    gate.arrive(now, Deferred, now + PATIENCE, 3);
+    gate.arrive(now, Urgent, now + PATIENCE, 4);
+
+    let release = gate.advance(now + Duration::from_millis(100));
+
+    // With 100 ms left only the urgent one can still be answered in time.
+    let refused: Vec<_> = release
+        .refused
+        .iter()
+        .map(|each| (each.item, each.reason))
+        .collect();
+    assert_eq!(refused, [(3, RefusalReason::Expired)]);
+    assert_eq!(gate.waiting(), 1);
 }
 
 /// A service with four slots: its time grows with the requests beyond them.
@@ -89,7 +115,7 @@
         while let Some(index) = self.ends.iter().position(|(end, _, _)| *end <= now) {
             let (end, started, arrived) = self.ends.swap_remove(index);
             self.good[phase] += u64::from(end.since(arrived) <= PATIENCE);
-            let release = self.gate.finish(now, end.since(started));
+            let release = self.gate.finish(now, Standard, end.since(started));
             for (arrived, _) in release.start {
                 self.start(now, arrived);
             }
--- a/crates/anvilhub-coord/tests/matrix/true_not_run_admission.rs
+++ b/crates/anvilhub-coord/tests/matrix/true_not_run_admission.rs
@@ -73,7 +73,7 @@
     }
 
     // The process resumes after the deadline, with the first request just finished.
-    let release = gate.finish(DEADLINE, Duration::from_secs(1));
+    let release = gate.finish(DEADLINE, UrgencyClass::Standard, Duration::from_secs(1));
 
     assert!(release.start.is_empty(), "an expired request was started");
     assert_eq!(release.refused.len(), 9);
@@ -130,7 +130,7 @@
         }
         refused.extend(arrival.shed.map(|refusal| refusal.item));
         if item % 7 == 0 && gate.running() > 0 {
-            let release = gate.finish(now, Duration::from_millis(1 + item % 50));
+            let release = gate.finish(now, urgency, Duration::from_millis(1 + item % 50));
             started.extend(release.start);
             refused.extend(release.refused.into_iter().map(|refusal| refusal.item));
         }
--- a/crates/anvilhub-dev/src/bench/driver/queries.rs
+++ b/crates/anvilhub-dev/src/bench/driver/queries.rs
@@ -202,7 +202,9 @@
             return;
         }
         let service = self.now.since(admitted);
-        let release = self.entries[entry].gate.finish(self.now, service);
+        let release = self.entries[entry]
+            .gate
+            .finish(self.now, arrival.urgency, service);
         self.admit(release);
     }
 
