--- a/crates/anvilhub-coord/src/admission/admission_gate.rs
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 
 use crate::ids::SlotCount;
-use crate::routing::{Displaced, UrgencyQueue};
+use crate::routing::{Displaced, URGENCY_CLASSES, UrgencyQueue};
 use crate::sheet::UrgencyClass;
 use crate::time::ClockTime;
 
@@ -196,15 +196,28 @@
 
     /// Counts the end of a request that was started and hands out waiting ones.
     ///
-    /// `service_time` is the time since its start, also when it ended without an answer.
-    pub fn finish(
+    /// `service_time` is the time since its start, also when it ended without an answer. It counts for every
+    /// urgency class; use `finish_as` where the class is known.
+    pub fn finish(&mut self, now: ClockTime, service_time: Duration) -> AdmissionRelease<T> {
+        for urgency in URGENCY_CLASSES {
+            self.wait.record(urgency, service_time);
+        }
+        self.end(now, service_time)
+    }
+
+    /// Counts the end of a request of `urgency`, as `finish` does.
+    pub fn finish_as(
         &mut self,
         now: ClockTime,
         urgency: UrgencyClass,
         service_time: Duration,
     ) -> AdmissionRelease<T> {
-        self.running = self.running.saturating_sub(1);
         self.wait.record(urgency, service_time);
+        self.end(now, service_time)
+    }
+
+    fn end(&mut self, now: ClockTime, service_time: Duration) -> AdmissionRelease<T> {
+        self.running = self.running.saturating_sub(1);
         self.limit.record(now, service_time);
         self.advance(now)
     }
--- a/crates/anvilhub-coord/src/routing/urgency_queue.rs
+++ b/crates/anvilhub-coord/src/routing/urgency_queue.rs
@@ -3,6 +3,13 @@
 use crate::sheet::UrgencyClass;
 use crate::time::ClockTime;
 
+/// Every class, the most urgent first.
+pub(crate) const URGENCY_CLASSES: [UrgencyClass; 3] = [
+    UrgencyClass::Urgent,
+    UrgencyClass::Standard,
+    UrgencyClass::Deferred,
+];
+
 type Rank = (UrgencyClass, ClockTime, u64);
 
 /// A bounded queue ordered by urgency, then deadline, then arrival.
@@ -60,13 +67,8 @@
 
     /// Removes the entries whose deadline is not after the limit of their class.
     pub(crate) fn expire(&mut self, limit: impl Fn(UrgencyClass) -> ClockTime) -> Vec<T> {
-        let classes = [
-            UrgencyClass::Urgent,
-            UrgencyClass::Standard,
-            UrgencyClass::Deferred,
-        ];
         let mut expired = Vec::new();
-        for class in classes {
+        for class in URGENCY_CLASSES {
             let first = (class, ClockTime(0), 0);
             let last = (class, limit(class), u64::MAX);
             while let Some((&rank, _)) = self.entries.range(first..=last).next() {
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,15 +1,33 @@
 //! Tests of the coordination library, one file a feature.
 
+mod acceptance_scenarios;
+mod acceptor_search;
 mod admission_gate;
+mod answer_gather;
 mod attempt_rule;
 mod connection_ledger;
 mod connection_share;
 mod ejection_policy;
+mod fleet;
+mod gather_properties;
+mod gossip_spread;
 mod hedge_policy;
 mod key_ranges;
 mod matrix;
+mod member_table;
 mod owner_health;
+mod pause_detection;
 mod replica_picker;
 mod retry_budget;
+mod scenario;
+mod scenario_files;
+mod shard_owners;
+mod sheet_check;
+mod sheet_diff;
+mod sheet_fetch;
+mod sheet_fuzz;
+mod sheets;
 mod slot_queue;
+mod ticket_search;
+mod ticket_table;
 mod upstream_view;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/sheet_check.rs
@@ -0,0 +1,209 @@
+//! Guards against a faulty sheet that passes the check, and against faults without a usable place.
+
+use std::fs;
+use std::io::Write;
+
+use anvilhub_coord::sheet::{
+    CheckedSheet, MAX_SHEET_BYTES, MAX_UNPACKED_BYTES, SheetFault, SheetStep,
+};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use flate2::Compression;
+use flate2::write::GzEncoder;
+
+use crate::sheets::{example, example_path};
+
+fn faults_of(name: &str) -> Vec<SheetFault> {
+    let bytes = fs::read(example_path(&format!("broken/{name}"))).unwrap();
+    let sheet = match CheckedSheet::from_bytes(&bytes) {
+        Ok(sheet) => sheet,
+        Err(faults) => return faults,
+    };
+    let minimal = example("minimal.json");
+    let step = SheetStep::new(&minimal, &sheet);
+    let mut faults = step.check().err().unwrap_or_default();
+    faults.extend(step.unknown_names());
+    faults
+}
+
+#[test]
+fn broken_examples() {
+    let mut names: Vec<String> = fs::read_dir(example_path("broken"))
+        .unwrap()
+        .map(|entry| entry.unwrap().file_name().into_string().unwrap())
+        .collect();
+    names.sort();
+    let mut report = String::new();
+    for name in names {
+        let faults = faults_of(&name);
+        assert!(!faults.is_empty(), "{name} passes the check");
+        report.push_str(&format!("{name}\n"));
+        for fault in faults {
+            report.push_str(&format!("  {}: {}\n", fault.place, fault.found));
+        }
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn deployment_sizes() {
+    // Guards against examples that drift from the sizes of the design page.
+    let sizes = |file: &str| -> Vec<String> {
+        let sheet = example(file);
+        let services = sheet.services.values();
+        services
+            .map(|service| {
+                let first = &service.shards[0].replicas[0];
+                assert!(
+                    service
+                        .shards
+                        .windows(2)
+                        .all(|pair| pair[0].replicas.len() == pair[1].replicas.len())
+                );
+                format!(
+                    "{} {}x{} slots {} connections {} {} {}",
+                    service.name,
+                    service.shards.len(),
+                    service.shards[0].replicas.len(),
+                    first.slots,
+                    first.connections,
+                    service.urgency,
+                    service.repeatability,
+                )
+            })
+            .collect()
+    };
+    assert_eq!(
+        sizes("bordurtas.json"),
+        [
+            "accounts-reports 1x3 slots 2 connections 110 deferred idempotent",
+            "contractor-portal 30x2 slots 2 connections 25 standard idempotent",
+            "dispatch-desk 1x5 slots 2 connections 110 urgent non_idempotent",
+            "tender-stock-desk 20x2 slots 2 connections 25 urgent idempotent",
+        ]
+    );
+    assert_eq!(
+        sizes("hanbit.json"),
+        [
+            "counter-desk 1x15 slots 2 connections 35 standard idempotent",
+            "insurer-desk 30x2 slots 2 connections 25 standard idempotent",
+            "shared-ledger 1x7 slots 2 connections 35 standard non_idempotent",
+            "technician-desk 20x2 slots 2 connections 25 urgent idempotent",
+        ]
+    );
+}
+
+#[test]
+fn oversized_sheet() {
+    let faults = CheckedSheet::from_bytes(&vec![b' '; MAX_SHEET_BYTES + 1]).unwrap_err();
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].found, format!("{} bytes", MAX_SHEET_BYTES + 1));
+}
+
+#[test]
+fn bounded_faults() {
+    // Guards against a garbled document that fills the log: 5,000 faults are cut to 1,000 and a count.
+    let services: Vec<u32> = (0..5_000).collect();
+    let bytes =
+        serde_json::to_vec(&serde_json::json!({"version": 1, "services": services})).unwrap();
+    let faults = CheckedSheet::from_bytes(&bytes).unwrap_err();
+    assert_eq!(faults.len(), 1_001);
+    assert_eq!(faults[1_000].found, "4000 further faults");
+}
+
+#[test]
+fn deep_nesting() {
+    // Guards against a document that exhausts the stack.
+    let bytes = vec![b'['; MAX_SHEET_BYTES];
+    assert!(CheckedSheet::from_bytes(&bytes).is_err());
+}
+
+/// `bytes` in the packed form.
+fn pack(bytes: &[u8]) -> Vec<u8> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(bytes).unwrap();
+    STANDARD.encode(encoder.finish().unwrap()).into_bytes()
+}
+
+#[test]
+fn packed_sheet() {
+    let bytes = fs::read(example_path("bordurtas.json")).unwrap();
+    let packed = pack(&bytes);
+    assert!(packed.len() < bytes.len());
+    let sheet = CheckedSheet::from_bytes(&packed).unwrap();
+    assert_eq!(sheet.digest, example("bordurtas.json").digest);
+    for length in 0..packed.len() {
+        assert!(
+            CheckedSheet::from_bytes(&packed[..length]).is_err(),
+            "prefix of {length} bytes"
+        );
+    }
+}
+
+#[test]
+fn packed_bomb() {
+    // Guards against a small value that exhausts the memory.
+    let packed = pack(&vec![b' '; 50_000_000]);
+    assert!(packed.len() < MAX_SHEET_BYTES);
+    let faults = CheckedSheet::from_bytes(&packed).unwrap_err();
+    assert!(
+        faults[0].found.contains(&MAX_UNPACKED_BYTES.to_string()),
+        "{faults:?}"
+    );
+}
+
+#[test]
+fn target_size() {
+    // Guards against a format in which the sheet of 15,000 replicas does not fit the platform's limit.
+    let replica = |service: usize, shard: usize, index: usize| {
+        let number = (service * 107 + shard) * 2 + index;
+        serde_json::json!({
+            "id": format!("service-{service}-{shard}-{index}"),
+            "address": format!("10.{}.{}.{}:7301", number / 50_000 + 1, number / 200 % 250, number % 200 + 1),
+            "failure_domain": format!("region-{}-{}", number % 3, number % 7), "slots": 2, "connections": 25
+        })
+    };
+    let shard = |service: usize, index: usize| {
+        let start = (index << 32) / 107;
+        serde_json::json!({
+            "name": format!("shard-{index}"), "start": start, "end": ((index + 1) << 32) / 107,
+            "replicas": [replica(service, index, 0), replica(service, index, 1)]
+        })
+    };
+    let service = |index: usize| {
+        let shards: Vec<_> = (0..107).map(|number| shard(index, number)).collect();
+        serde_json::json!({
+            "name": format!("service-{index}"), "callers": ["foreman"], "urgency": "urgent",
+            "repeatability": "idempotent", "shards": shards
+        })
+    };
+    let services: Vec<_> = (0..71).map(service).collect();
+    let bytes =
+        serde_json::to_vec(&serde_json::json!({"version": 1, "services": services})).unwrap();
+    let packed = pack(&bytes);
+    println!("{} bytes, {} packed", bytes.len(), packed.len());
+    assert!(bytes.len() > MAX_SHEET_BYTES);
+    let sheet = CheckedSheet::from_bytes(&packed).unwrap();
+    assert_eq!(
+        sheet
+            .services
+            .values()
+            .map(|service| service.replicas().count())
+            .sum::<usize>(),
+        15_194
+    );
+}
+
+#[test]
+fn every_truncation() {
+    // Guards against a partly written sheet that passes: no proper prefix does.
+    let bytes = fs::read(example_path("minimal.json")).unwrap();
+    let whole = bytes.trim_ascii_end().len();
+    for length in 0..whole {
+        assert!(
+            CheckedSheet::from_bytes(&bytes[..length]).is_err(),
+            "prefix of {length} bytes"
+        );
+    }
+    assert!(CheckedSheet::from_bytes(&bytes[..whole]).is_ok());
+}
--- a/crates/anvilhub-dev/src/bench/driver/queries.rs
+++ b/crates/anvilhub-dev/src/bench/driver/queries.rs
@@ -204,7 +204,7 @@
         let service = self.now.since(admitted);
         let release = self.entries[entry]
             .gate
-            .finish(self.now, arrival.urgency, service);
+            .finish_as(self.now, arrival.urgency, service);
         self.admit(release);
     }
 
--- /dev/null
+++ b/crates/anvilhub-dev/src/standin/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-ins of the platform, the upstreams and the network between two processes.
+
+mod http_reply;
+pub mod platform;
+pub mod relay;
+pub mod upstream;
--- /dev/null
+++ b/crates/anvilhubd/src/controllers/member_controller.rs
@@ -0,0 +1,87 @@
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anvilhub_coord::border::platform::InstanceList;
+use anvilhub_coord::configuration::SheetInput;
+use eyre::{Result, WrapErr};
+use log::{info, warn};
+use metrics::gauge;
+
+use crate::context::EntryContext;
+
+use super::PlatformClient;
+
+/// How long one watch waits for a newer list.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed read, so that a platform outage costs few calls.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Watches the platform's list of instances.
+pub(crate) struct MemberController {
+    context: Arc<EntryContext>,
+    client: PlatformClient,
+}
+
+impl MemberController {
+    pub(crate) fn new(context: Arc<EntryContext>) -> Self {
+        let client = PlatformClient::new(context.settings.platform_address);
+        Self { context, client }
+    }
+
+    pub(crate) fn spawn(self) -> Result<()> {
+        thread::Builder::new()
+            .name("members".to_owned())
+            .spawn(move || self.run())
+            .wrap_err("cannot start the member controller")?;
+        Ok(())
+    }
+
+    fn run(self) {
+        let mut revision = None;
+        self.publish();
+        loop {
+            match self.client.watch_instances(revision, WATCH_WAIT) {
+                Ok(Some(list)) => {
+                    revision = Some(list.revision);
+                    self.apply(&list);
+                }
+                Ok(None) => self
+                    .context
+                    .members()
+                    .confirm_list(self.context.clock.now()),
+                Err(error) => {
+                    warn!("the instance list cannot be read: {error:#}");
+                    revision = None;
+                    thread::sleep(RETRY_PAUSE);
+                }
+            }
+            self.publish();
+        }
+    }
+
+    fn apply(&self, list: &InstanceList) {
+        info!(revision:% = list.revision, instances = list.instances.len(); "instance list read");
+        let now = self.context.clock.now();
+        for instance in self.context.members().apply_list(list, now) {
+            warn!(instance:% = instance; "the list gives no usable peer_address; the instance is left out");
+        }
+        self.context.instances.store(Some(Arc::new(list.clone())));
+    }
+
+    fn publish(&self) {
+        let now = self.context.clock.now();
+        let (expected, age) = {
+            let members = self.context.members();
+            (members.expected(), members.list_age(now))
+        };
+        if let Some(age) = age {
+            gauge!("anvilhub_instance_list_age_seconds").set(age.as_secs_f64());
+        }
+        if let Some(expected) = expected {
+            self.context
+                .configuration
+                .observe(SheetInput::PeersListed(expected));
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -0,0 +1,137 @@
+use std::sync::Arc;
+
+use anvilhub_coord::border::query::{CoverageEntry, ErrorEntry, QueryAnswer, QueryOutcome};
+use anvilhub_coord::gather::CoverageReport;
+use anvilhub_coord::ids::ServiceName;
+use metrics::{counter, histogram};
+
+use crate::admission::AdmissionPermit;
+use crate::context::EntryContext;
+use crate::filters::{EntryRequest, RequestError, Result};
+use crate::routes::ServiceRoute;
+
+use super::{GatheredRequest, QueryBody, RequestRun, answer_time};
+
+/// Admits requests and answers them from what their sub-requests gather.
+pub(crate) struct FanoutRunner {
+    context: Arc<EntryContext>,
+}
+
+impl FanoutRunner {
+    pub(crate) fn new(context: Arc<EntryContext>) -> Self {
+        Self { context }
+    }
+
+    /// Runs a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request is not admitted; nothing was sent then.
+    pub(crate) async fn run(&self, request: &EntryRequest) -> Result<QueryAnswer> {
+        let routes = self.context.route_store.for_sheet(&request.sheet);
+        let name = &request.query.service;
+        let service = routes
+            .services
+            .get(name)
+            .ok_or_else(|| RequestError::UnknownService {
+                service: name.clone(),
+            })?;
+        let body = query_body(request, service);
+        let _permit = self.admit(&body).await?;
+        let run = RequestRun::new(Arc::clone(&self.context), body, request.range());
+        let answer = answer(request, run.run().await);
+        self.measure(request, &answer);
+        Ok(answer)
+    }
+
+    async fn admit(&self, body: &QueryBody) -> Result<AdmissionPermit> {
+        let entry = body.service.gate.enter(body.urgency, body.deadline).await;
+        entry.map_err(|refusal| {
+            let service = body.service.spec.name.clone();
+            counter!(
+                "anvilhub_refusals_total",
+                "service" => service.to_string(), "reason" => refusal.reason.to_string()
+            )
+            .increment(1);
+            RequestError::NotAdmitted {
+                service,
+                reason: refusal.reason,
+                wait_ms: refusal.estimated_wait.as_millis() as u64,
+            }
+        })
+    }
+
+    fn measure(&self, request: &EntryRequest, answer: &QueryAnswer) {
+        let service = label(&request.query.service);
+        let seconds = self
+            .context
+            .clock
+            .now()
+            .since(request.arrived)
+            .as_secs_f64();
+        let fraction = answer.coverage.as_ref().map_or(0.0, |entry| entry.fraction);
+        counter!(
+            "anvilhub_requests_total",
+            "service" => service.clone(), "outcome" => answer.outcome.to_string()
+        )
+        .increment(1);
+        histogram!("anvilhub_request_duration_seconds", "service" => service.clone())
+            .record(seconds);
+        histogram!("anvilhub_coverage_ratio", "service" => service).record(fraction);
+    }
+}
+
+fn label(service: &ServiceName) -> String {
+    service.to_string()
+}
+
+fn query_body(request: &EntryRequest, service: &Arc<ServiceRoute>) -> QueryBody {
+    let spec = &service.spec;
+    let claimed = request.query.urgency.unwrap_or(spec.urgency);
+    QueryBody {
+        request_id: request.query.request_id.clone(),
+        service: Arc::clone(service),
+        // A caller cannot claim a higher urgency than its service has.
+        urgency: claimed.max(spec.urgency),
+        idempotent: request.is_idempotent(spec),
+        key: request.query.key,
+        query: request.query.query.clone(),
+        deadline: answer_time(request.arrived, request.deadline),
+    }
+}
+
+fn answer(request: &EntryRequest, gathered: GatheredRequest) -> QueryAnswer {
+    let GatheredRequest { answer, is_not_run } = gathered;
+    let is_empty = answer.coverage.fraction == 0.0;
+    let outcome = match (is_empty, is_not_run) {
+        (false, _) => QueryOutcome::Done,
+        (true, true) => QueryOutcome::NotRun,
+        (true, false) => QueryOutcome::Unknown,
+    };
+    QueryAnswer {
+        request_id: request.query.request_id.clone(),
+        outcome,
+        rows: answer.rows,
+        snapshot: answer.snapshot,
+        error: is_empty.then(|| no_answer(&answer.coverage)),
+        coverage: Some(coverage_entry(&answer.coverage)),
+        ticket: None,
+    }
+}
+
+fn no_answer(coverage: &CoverageReport) -> ErrorEntry {
+    let reasons: Vec<_> = coverage.missing.iter().map(ToString::to_string).collect();
+    ErrorEntry {
+        code: "no_answer".to_owned(),
+        message: format!("no shard answered: {}", reasons.join(", ")),
+        remedy: "send the request again; if it fails again, look at `anvilhub explain`".to_owned(),
+    }
+}
+
+fn coverage_entry(report: &CoverageReport) -> CoverageEntry {
+    CoverageEntry {
+        complete: report.complete,
+        fraction: report.fraction,
+        missing: report.missing.iter().map(Into::into).collect(),
+    }
+}
--- /dev/null
+++ b/crates/anvilhubd/src/lib.rs
@@ -0,0 +1,23 @@
+//! The daemon `anvilhubd`: I/O around the decisions of `anvilhub-coord`.
+
+mod admission;
+mod caller;
+mod clock;
+mod context;
+mod controllers;
+mod daemon;
+mod fanout;
+mod filters;
+mod lifecycle;
+mod logging;
+mod operator;
+mod peer;
+mod pool;
+mod routes;
+mod settings;
+mod settings_error;
+mod tickets;
+
+pub use daemon::run;
+pub use settings::DaemonSettings;
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/crates/anvilhubd/src/pool/upstream_connection.rs
@@ -0,0 +1,139 @@
+use std::net::SocketAddr;
+
+use anvilhub_coord::ids::ByteSize;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use super::{PoolError, Result};
+
+/// Largest head of an answer; upstreams send a few hundred bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// One open connection to an upstream. It carries one request at a time, and is closed when it is dropped.
+///
+/// hyper's connection API never sends a request a second time by itself, which non-idempotent requests
+/// depend on.
+pub(crate) struct UpstreamConnection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl UpstreamConnection {
+    pub(crate) async fn open(address: SocketAddr) -> Result<Self> {
+        let unconnected = |reason: &dyn std::fmt::Display| PoolError::Unconnected {
+            address,
+            reason: reason.to_string(),
+        };
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| unconnected(&error))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| unconnected(&error))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unconnected(&error))?;
+        let driver = tokio::spawn(connection).abort_handle();
+        Ok(Self {
+            address,
+            sender,
+            driver,
+        })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Says whether another request can be sent.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Waits until a request can be sent; `false` when the connection is closed.
+    pub(crate) async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and reads the answer, calling `on_bytes` whenever a part of it arrives.
+    pub(crate) async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        limit: ByteSize,
+        on_bytes: impl Fn(),
+    ) -> Result<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("a constant request head is valid");
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            // hyper gives the message back when it wrote nothing of it.
+            Some(_) => PoolError::Unconnected {
+                address: self.address,
+                reason: error.error().to_string(),
+            },
+            None => self.broken(error.error()),
+        })?;
+        on_bytes();
+        let status = response.status();
+        let body = self.read_body(response, limit, on_bytes).await?;
+        Ok((status, body))
+    }
+
+    async fn read_body(
+        &self,
+        response: Response<Incoming>,
+        limit: ByteSize,
+        on_bytes: impl Fn(),
+    ) -> Result<Bytes> {
+        let oversized = PoolError::OversizedAnswer {
+            address: self.address,
+            limit,
+        };
+        let mut body = response.into_body();
+        if body.size_hint().lower() > limit.get() {
+            return Err(oversized);
+        }
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| self.broken(&error))?;
+            on_bytes();
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if (bytes.len() + data.len()) as u64 > limit.get() {
+                return Err(oversized);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+
+    pub(crate) fn broken(&self, reason: &dyn std::fmt::Display) -> PoolError {
+        PoolError::Broken {
+            address: self.address,
+            reason: reason.to_string(),
+        }
+    }
+}
+
+impl Drop for UpstreamConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
