--- a/crates/anvilhub-coord/tests/replica_picker.rs
+++ b/crates/anvilhub-coord/tests/replica_picker.rs
@@ -14,6 +14,7 @@
             in_flight: 0,
             expected: Duration::from_millis(expected_ms),
             leaving: false,
+            slow: false,
             ejected: false,
         },
         same_domain: true,
