--- a/crates/anvilhub-coord/src/routing/replica_picker.rs
+++ b/crates/anvilhub-coord/src/routing/replica_picker.rs
@@ -18,9 +18,6 @@
     /// Equal to another except for its failure domain.
     #[display("same_domain")]
     SameDomain,
-    /// It is slow, yet expected to answer before the others, which are busy.
-    #[display("overflow")]
-    Overflow,
     /// Every usable replica is ejected; this one is expected to answer first.
     #[display("all_ejected")]
     AllEjected,
@@ -107,10 +104,7 @@
                 index: self.compare(candidates, ejected, rng).index,
                 reason: PickReason::AllEjected,
             }),
-            (healthy, usable) => {
-                let choice = self.compare(candidates, healthy, rng);
-                Ok(overflow(candidates, usable, choice))
-            }
+            (healthy, _) => Ok(self.compare(candidates, healthy, rng)),
         }
     }
 
@@ -147,26 +141,6 @@
     }
 }
 
-/// Replaces the choice by a slow replica that is idle and expected to answer sooner nevertheless.
-fn overflow(
-    candidates: &[ReplicaCandidate],
-    usable: &[usize],
-    choice: ReplicaChoice,
-) -> ReplicaChoice {
-    let expected = candidates[choice.index].load.expected;
-    let slow = usable.iter().copied().find(|&index| {
-        let load = &candidates[index].load;
-        load.slow && load.in_flight == 0 && load.expected < expected
-    });
-    match slow {
-        Some(index) => ReplicaChoice {
-            index,
-            reason: PickReason::Overflow,
-        },
-        None => choice,
-    }
-}
-
 fn select(
     candidates: &[ReplicaCandidate],
     indexes: impl IntoIterator<Item = usize>,
--- a/crates/anvilhub-coord/src/routing/upstream_load.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_load.rs
@@ -9,8 +9,6 @@
     pub expected: Duration,
     /// Whether it gets no new work.
     pub leaving: bool,
-    /// Whether it is ejected for being slow, but answers: it may take what others would answer later.
-    pub slow: bool,
     /// Whether it is temporarily ejected, or on trial with an attempt in flight.
     pub ejected: bool,
 }
--- a/crates/anvilhub-coord/src/routing/upstream_view.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_view.rs
@@ -67,7 +67,6 @@
     ejected_until: Option<ClockTime>,
     ejections: u32,
     trial: u32,
-    ejected_latency: Option<Duration>,
 }
 
 impl UpstreamView {
@@ -160,11 +159,6 @@
         };
         let until = now + FIRST_EJECTION * 2_u32.pow(self.ejections);
         self.ejected_until = Some(until);
-        // Without any answer there is no latency at which the upstream could still be of use.
-        self.ejected_latency = match self.failures {
-            0 => self.latency(),
-            _ => None,
-        };
         self.latency_micros = None;
         self.samples = 0;
         self.failures = 0;
@@ -172,11 +166,6 @@
         until
     }
 
-    /// Says whether the upstream was ejected for being slow, while it still answers.
-    pub fn is_slow(&self, now: ClockTime) -> bool {
-        self.is_ejected(now) && self.ejected_latency.is_some() && self.failures == 0
-    }
-
     /// Says whether the upstream returned from an ejection and has yet to prove itself. It then gets one
     /// attempt at a time, and a single late or failed one ejects it again.
     pub fn is_on_trial(&self, now: ClockTime) -> bool {
@@ -190,17 +179,12 @@
 
     /// Copies what a replica choice needs.
     pub fn load(&self, now: ClockTime) -> UpstreamLoad {
-        let known = match self.is_ejected(now) {
-            true => self.ejected_latency.max(self.latency()),
-            false => self.latency(),
-        };
-        let latency = known.unwrap_or(UNKNOWN_LATENCY);
+        let latency = self.latency().unwrap_or(UNKNOWN_LATENCY);
         let held = 1.0 + f64::from(self.in_flight) + self.others_at(now);
         UpstreamLoad {
             in_flight: self.in_flight,
             expected: latency.mul_f64(held),
             leaving: self.leaving.is_some(),
-            slow: self.is_slow(now),
             ejected: self.is_ejected(now) || (self.is_on_trial(now) && self.in_flight > 0),
         }
     }
--- a/crates/anvilhub-coord/tests/replica_picker.rs
+++ b/crates/anvilhub-coord/tests/replica_picker.rs
@@ -14,7 +14,6 @@
             in_flight: 0,
             expected: Duration::from_millis(expected_ms),
             leaving: false,
-            slow: false,
             ejected: false,
         },
         same_domain: true,
