--- a/crates/anvilhub-coord/src/routing/urgency_queue.rs
+++ b/crates/anvilhub-coord/src/routing/urgency_queue.rs
@@ -3,6 +3,13 @@
 use crate::sheet::UrgencyClass;
 use crate::time::ClockTime;
 
+/// Every class, the most urgent first.
+pub(crate) const URGENCY_CLASSES: [UrgencyClass; 3] = [
+    UrgencyClass::Urgent,
+    UrgencyClass::Standard,
+    UrgencyClass::Deferred,
+];
+
 type Rank = (UrgencyClass, ClockTime, u64);
 
 /// A bounded queue ordered by urgency, then deadline, then arrival.
@@ -58,17 +65,12 @@
         self.entries.range(..=(urgency, deadline, u64::MAX)).count()
     }
 
-    /// Removes the entries whose deadline is not after `limit`.
-    pub(crate) fn expire(&mut self, limit: ClockTime) -> Vec<T> {
-        let classes = [
-            UrgencyClass::Urgent,
-            UrgencyClass::Standard,
-            UrgencyClass::Deferred,
-        ];
+    /// Removes the entries whose deadline is not after the limit of their class.
+    pub(crate) fn expire(&mut self, limit: impl Fn(UrgencyClass) -> ClockTime) -> Vec<T> {
         let mut expired = Vec::new();
-        for class in classes {
+        for class in URGENCY_CLASSES {
             let first = (class, ClockTime(0), 0);
-            let last = (class, limit, u64::MAX);
+            let last = (class, limit(class), u64::MAX);
             while let Some((&rank, _)) = self.entries.range(first..=last).next() {
                 expired.extend(self.entries.remove(&rank));
             }
