--- a/crates/anvilhub-coord/src/configuration/sheet_alarm.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_alarm.rs
@@ -39,3 +39,17 @@
     )]
     SheetLost(SheetVersion),
 }
+
+impl SheetAlarm {
+    /// Stable name for metrics and logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::PlatformUnreachable => "platform_unreachable",
+            Self::PlatformStale { .. } => "platform_stale",
+            Self::PeerSilent(_) => "peer_silent",
+            Self::ListUnknown => "list_unknown",
+            Self::VersionConflict(_) => "version_conflict",
+            Self::SheetLost(_) => "sheet_lost",
+        }
+    }
+}
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use log::info;
+use metrics::counter;
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
@@ -150,6 +151,7 @@
 }
 
 fn refuse(error: &RequestError, request_id: RequestId) -> (StatusCode, QueryAnswer) {
+    counter!("anvilhub_refused_requests_total", "code" => error.code()).increment(1);
     info!(request_id:% = request_id, code = error.code(); "request refused: {error}");
     (error.status(), error.answer(request_id))
 }
--- a/crates/anvilhubd/src/controllers/config_controller.rs
+++ b/crates/anvilhubd/src/controllers/config_controller.rs
@@ -96,8 +96,14 @@
             SheetAction::DiscardAnswer { peer, reason } => {
                 warn!(peer:% = peer; "sheet from a peer discarded: {reason}");
             }
-            SheetAction::Raise(alarm) => error!(alarm:? = alarm; "alarm: {alarm}"),
-            SheetAction::Clear(alarm) => info!(alarm:? = alarm; "alarm ended: {alarm}"),
+            SheetAction::Raise(alarm) => {
+                gauge!("anvilhub_alarm", "kind" => alarm.kind()).set(1.0);
+                error!(kind = alarm.kind(); "alarm: {alarm}");
+            }
+            SheetAction::Clear(alarm) => {
+                gauge!("anvilhub_alarm", "kind" => alarm.kind()).set(0.0);
+                info!(kind = alarm.kind(); "alarm ended: {alarm}");
+            }
         }
     }
 
--- a/crates/anvilhubd/src/controllers/member_controller.rs
+++ b/crates/anvilhubd/src/controllers/member_controller.rs
@@ -6,7 +6,7 @@
 use anvilhub_coord::configuration::SheetInput;
 use eyre::{Result, WrapErr};
 use log::{info, warn};
-use metrics::gauge;
+use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
 
@@ -51,6 +51,8 @@
                     .members()
                     .confirm_list(self.context.clock.now()),
                 Err(error) => {
+                    counter!("anvilhub_platform_failures_total", "read" => "instances")
+                        .increment(1);
                     warn!("the instance list cannot be read: {error:#}");
                     revision = None;
                     thread::sleep(RETRY_PAUSE);
--- a/crates/anvilhubd/src/controllers/peer_exchange.rs
+++ b/crates/anvilhubd/src/controllers/peer_exchange.rs
@@ -4,6 +4,7 @@
 use anvilhub_coord::ids::InstanceId;
 use jsonrpsee::core::client::Client;
 use log::debug;
+use metrics::counter;
 use tokio::runtime::Handle;
 
 use crate::context::EntryContext;
@@ -75,6 +76,7 @@
 }
 
 fn lose_peer(context: &EntryContext, peer: InstanceId, error: &PeerError) {
+    counter!("anvilhub_exchange_failures_total").increment(1);
     debug!(peer:% = peer; "exchange failed: {error}");
     let now = context.clock.now();
     match error {
--- a/crates/anvilhubd/src/controllers/platform_watcher.rs
+++ b/crates/anvilhubd/src/controllers/platform_watcher.rs
@@ -6,6 +6,7 @@
 use anvilhub_coord::ids::PlatformRevision;
 use eyre::{Result, WrapErr};
 use log::{debug, warn};
+use metrics::counter;
 
 use crate::context::EntryContext;
 
@@ -75,6 +76,7 @@
             }
             Ok(None) => {}
             Err(error) => {
+                counter!("anvilhub_platform_failures_total", "read" => "sheet").increment(1);
                 warn!("the configuration service cannot be read: {error:#}");
                 self.context
                     .configuration
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -131,6 +131,15 @@
         gauge!("anvilhub_requests_running", "service" => name.clone()).set(running);
         gauge!("anvilhub_requests_waiting", "service" => name.clone()).set(waiting as f64);
         gauge!("anvilhub_admission_limit", "service" => name.clone()).set(limit);
+        let views = service.upstreams().map(|upstream| upstream.load(now));
+        let (leaving, ejected) = views.fold((0, 0), |(leaving, ejected), load| {
+            (
+                leaving + u32::from(load.leaving),
+                ejected + u32::from(load.ejected),
+            )
+        });
+        gauge!("anvilhub_leaving_upstreams", "service" => name.clone()).set(leaving);
+        gauge!("anvilhub_ejected_upstreams", "service" => name.clone()).set(ejected);
         let mut queued = 0;
         for shard in &service.shards {
             let usable = shard.usable_slots(now);
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -77,6 +77,15 @@
         .increment(1);
         histogram!("anvilhub_request_duration_seconds", "service" => service.clone())
             .record(seconds);
+        for missing in answer
+            .coverage
+            .iter()
+            .flat_map(|coverage| &coverage.missing)
+        {
+            let reason = missing.reason.to_string();
+            counter!("anvilhub_missing_ranges_total", "service" => service.clone(), "reason" => reason)
+                .increment(1);
+        }
         histogram!("anvilhub_coverage_ratio", "service" => service).record(fraction);
     }
 }
--- a/crates/anvilhubd/src/tickets/ticket_service.rs
+++ b/crates/anvilhubd/src/tickets/ticket_service.rs
@@ -11,6 +11,7 @@
 use anvilhub_coord::time::ClockTime;
 use jsonrpsee::core::client::Client;
 use log::{info, warn};
+use metrics::counter;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -150,7 +151,9 @@
                         key,
                     };
                     let outcome = executor.execute(&mut run).await;
-                    service.table().finish(run, outcome, context.clock.now());
+                    let outcome = service.table().finish(run, outcome, context.clock.now());
+                    counter!("anvilhub_tickets_total", "outcome" => outcome.kind().to_string())
+                        .increment(1);
                     service.settled.send_modify(|count| *count += 1);
                 });
             }
@@ -203,6 +206,7 @@
     match context.peers.call(owner, remaining, call).await {
         Ok(answer) => answer,
         Err(error) => {
+            counter!("anvilhub_forward_failures_total").increment(1);
             warn!(request_id:% = request_id, owner:% = owner; "the ticket's owner cannot be reached: {error}");
             TicketOutcome::Unknown(UnknownReason::OwnerUnreachable).to_answer(request_id)
         }
