Hedge beyond a share of one slot

Cause: an instance that does not own a shard may have a single slot of it, which the late attempt occupies, so in direct mode no hedge was ever sent.

Change: without the shard's ownership a hedge needs no slot of its own as long as no sub-request waits. The silence exemption lives in the ledger alone.

Ruled out: a share of at least two slots, which would exceed the slots of a replica with every further instance.

--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -7,6 +7,7 @@
     AttemptKind, AttemptOutcome, AttemptRule, AttemptState, AttemptVerdict, PickError,
     ReplicaCandidate, ReplicaChoice, ReplicaPicker,
 };
+use anvilhub_coord::sheet::RouteMode;
 use anvilhub_coord::time::ClockTime;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::debug;
@@ -185,14 +186,24 @@
             self.hedge_due = None;
             return;
         };
-        let Some(slot) = self.query.shard.queue.try_enter() else {
+        let slot = self.query.shard.queue.try_enter();
+        if slot.is_none() && !self.may_exceed_share() {
             return;
-        };
+        }
         if self.spend(now) {
-            self.send(choice, Some(kind), Some(slot));
+            self.send(choice, Some(kind), slot);
         }
     }
 
+    /// Says whether a hedge needs no slot of its own. The share of an instance that does not own the shard can
+    /// be a single slot, which the late attempt occupies.
+    fn may_exceed_share(&self) -> bool {
+        let shard = &self.query.shard;
+        let mode = self.query.body.service.spec.route.mode;
+        let owns = mode == RouteMode::Owner && shard.owner().is_none();
+        !owns && shard.queue.lengths().1 == 0
+    }
+
     fn choose(&self, further: Option<AttemptKind>) -> Result<ReplicaChoice, MissingReason> {
         let now = self.context.clock.now();
         let domain = &self.context.settings.failure_domain;
--- a/crates/anvilhubd/src/pool/link_state.rs
+++ b/crates/anvilhubd/src/pool/link_state.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use anvilhub_coord::connection::{ConnectionId, ConnectionLedger};
-use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::oneshot;
 
@@ -21,7 +20,8 @@
     pub(super) ledger: ConnectionLedger,
     pub(super) plan: LinkPlan,
     pub(super) idle: HashMap<ConnectionId, IdleConnection>,
-    pub(super) busy: HashMap<ConnectionId, BusyConnection>,
+    /// Dropping a sender ends the exchange on the connection.
+    pub(super) busy: HashMap<ConnectionId, oneshot::Sender<()>>,
     pub(super) opened: u64,
     pub(super) open_failed: Option<ClockTime>,
     pub(super) retired: bool,
@@ -33,13 +33,6 @@
     pub(super) since: ClockTime,
 }
 
-/// A connection that carries a request.
-pub(super) struct BusyConnection {
-    /// Dropping it ends the exchange on the connection.
-    pub(super) _exchange: oneshot::Sender<()>,
-    pub(super) repeat: RepeatPolicy,
-}
-
 impl LinkState {
     /// A state without connections.
     pub(super) fn new(plan: LinkPlan) -> Self {
@@ -57,18 +50,13 @@
     pub(super) fn take(
         &mut self,
         id: ConnectionId,
-        repeat: RepeatPolicy,
     ) -> Option<(ConnectionId, UpstreamConnection, oneshot::Receiver<()>)> {
         let Some(idle) = self.idle.remove(&id) else {
             self.ledger.closed(id);
             return None;
         };
         let (sender, receiver) = oneshot::channel();
-        let busy = BusyConnection {
-            _exchange: sender,
-            repeat,
-        };
-        self.busy.insert(id, busy);
+        self.busy.insert(id, sender);
         Some((id, idle.connection, receiver))
     }
 
@@ -83,13 +71,8 @@
     /// Number of silent connections, and the idle ones to close.
     pub(super) fn prune(&mut self, now: ClockTime, limit: Duration) -> (u64, Vec<IdleConnection>) {
         let report = self.ledger.check(now, limit);
-        // A late non-idempotent request is still read until its deadline: giving up would make its outcome
-        // unknown, and nothing could be sent in its place.
         for id in &report.close {
-            let busy = self.busy.get(id);
-            if busy.is_some_and(|busy| busy.repeat == RepeatPolicy::Idempotent) {
-                self.busy.remove(id);
-            }
+            self.busy.remove(id);
         }
         if report.upstream_suspect && self.plan.warm <= self.ledger.held() {
             self.plan.warm = (self.ledger.held() + 1).min(self.plan.share);
@@ -123,7 +106,7 @@
             .take(self.plan.warm as usize)
             .filter(|(since, _)| now.since(*since) >= PROBE_AGE)
             .filter_map(|(_, id)| match self.ledger.begin_probe(now, id) {
-                true => self.take(id, RepeatPolicy::Idempotent),
+                true => self.take(id),
                 false => None,
             })
             .collect()
--- a/crates/anvilhubd/src/pool/upstream_link.rs
+++ b/crates/anvilhubd/src/pool/upstream_link.rs
@@ -13,7 +13,7 @@
 use crate::clock::DaemonClock;
 use crate::routes::RouteCell;
 
-use super::link_state::{BusyConnection, IdleConnection, LinkState};
+use super::link_state::{IdleConnection, LinkState};
 use super::{ConnectionLease, LinkPlan, PoolError, Result, UpstreamConnection};
 
 /// The connections of this instance to one upstream.
@@ -71,7 +71,7 @@
                     }
                 }
                 LinkStep::Probe(lease) => lease.probe().await,
-                LinkStep::Open => return self.open(repeat).await,
+                LinkStep::Open => return self.open().await,
                 LinkStep::Again => {}
                 LinkStep::Wait => changed.await,
             }
@@ -145,7 +145,7 @@
         for _ in 0..self.state.with(|state| state.reserve_warm(now)) {
             let link = Arc::clone(self);
             tokio::spawn(async move {
-                if let Ok(lease) = link.open(RepeatPolicy::Idempotent).await {
+                if let Ok(lease) = link.open().await {
                     lease.rest();
                 }
             });
@@ -201,8 +201,7 @@
         let (plan, taken) = self.state.with(|state| {
             let plan = state.ledger.acquire(now, repeat);
             let taken = match plan {
-                ConnectionPlan::Use(id) => state.take(id, repeat),
-                ConnectionPlan::Probe(id) => state.take(id, RepeatPolicy::Idempotent),
+                ConnectionPlan::Use(id) | ConnectionPlan::Probe(id) => state.take(id),
                 _ => None,
             };
             let replaced = match plan {
@@ -221,7 +220,7 @@
     }
 
     /// Opens a connection whose place the ledger reserved.
-    async fn open(self: &Arc<Self>, repeat: RepeatPolicy) -> Result<ConnectionLease> {
+    async fn open(self: &Arc<Self>) -> Result<ConnectionLease> {
         let mut reservation = OpenReservation {
             link: Arc::clone(self),
             open: true,
@@ -241,11 +240,7 @@
             state.opened += 1;
             state.open_failed = None;
             state.ledger.opened(now, id);
-            let busy = BusyConnection {
-                _exchange: silent,
-                repeat,
-            };
-            state.busy.insert(id, busy);
+            state.busy.insert(id, silent);
             id
         });
         Ok(ConnectionLease::new(
