--- a/crates/anvilhub-coord/src/gather/snapshot_chooser.rs
+++ b/crates/anvilhub-coord/src/gather/snapshot_chooser.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::ids::{SnapshotId, UpstreamId};
 use crate::keyspace::KeyRange;
@@ -14,26 +14,43 @@
 pub struct SnapshotChooser {
     asked: KeyRange,
     shards: Vec<ShardHolding>,
+    /// Where each upstream is in `shards`. A request has hundreds of answers, each with a statement.
+    places: HashMap<UpstreamId, (usize, usize)>,
     rechoices_left: u32,
-    /// Upstreams that stated what they hold during this request.
-    confirmed: BTreeSet<UpstreamId>,
-    /// Snapshots that were stated during this request.
-    learned: BTreeSet<SnapshotId>,
+    /// Every snapshot that was ever stated.
+    known: BTreeSet<SnapshotId>,
+    /// Number of statements during this request; it orders them.
+    statements: u64,
+    /// The latest statement of each upstream during this request.
+    stated: BTreeMap<UpstreamId, u64>,
+    /// The first statement during this request that named each snapshot.
+    learned: BTreeMap<SnapshotId, u64>,
 }
 
 impl SnapshotChooser {
     /// A chooser for a request over `asked` and the service's shards.
     pub fn new(asked: KeyRange, shards: Vec<ShardHolding>) -> Self {
-        let shards = shards
+        let shards: Vec<_> = shards
             .into_iter()
             .filter(|shard| !shard.range.intersect(asked).is_empty())
             .collect();
+        let mut places = HashMap::new();
+        let mut known = BTreeSet::new();
+        for (shard, holding) in shards.iter().enumerate() {
+            for (replica, holding) in holding.replicas.iter().enumerate() {
+                places.insert(holding.upstream.clone(), (shard, replica));
+                known.extend(holding.held.iter().flatten());
+            }
+        }
         Self {
             asked,
             shards,
+            places,
+            known,
             rechoices_left: MAX_RECHOICES,
-            confirmed: BTreeSet::new(),
-            learned: BTreeSet::new(),
+            statements: 0,
+            stated: BTreeMap::new(),
+            learned: BTreeMap::new(),
         }
     }
 
@@ -47,20 +64,40 @@
         if is_whole {
             return self.plan(snapshot, HoldingView::Stated);
         }
-        // No snapshot is whole by what was stated before the request, and replicas have changed since:
-        // the others may have changed in the same way.
+        // No snapshot is whole by what was stated. Replicas have changed since, and the others may have
+        // changed in the same way.
         let snapshot = self.widest(HoldingView::Outdated);
         self.plan(snapshot, HoldingView::Outdated)
     }
 
-    /// Records what `upstream` states to hold, in an answer or in a `snapshot_not_held`.
+    /// Records what `upstream` states to hold in an answer to this request or in a refusal of it. An empty
+    /// `held` means that it holds none.
     pub fn record_held(&mut self, upstream: &UpstreamId, held: &[SnapshotId]) {
-        let replicas = self.shards.iter_mut().flat_map(|shard| &mut shard.replicas);
-        for replica in replicas.filter(|replica| replica.upstream == *upstream) {
-            replica.held = Some(held.to_vec());
+        let Some(&(shard, replica)) = self.places.get(upstream) else {
+            return;
+        };
+        self.shards[shard].replicas[replica].held = Some(held.to_vec());
+        self.statements += 1;
+        self.stated.insert(upstream.clone(), self.statements);
+        for &snapshot in held {
+            if self.known.insert(snapshot) {
+                self.learned.insert(snapshot, self.statements);
+            } else {
+                // A statement during the request speaks about every snapshot that was known before it.
+                self.learned.entry(snapshot).or_insert(0);
+            }
+        }
+    }
+
+    /// Takes over what other requests or reports have learned of `upstream` since this request began. What
+    /// was known already is no new statement.
+    pub fn refresh_held(&mut self, upstream: &UpstreamId, held: &[SnapshotId]) {
+        let Some(&(shard, replica)) = self.places.get(upstream) else {
+            return;
+        };
+        if self.shards[shard].replicas[replica].held.as_deref() != Some(held) {
+            self.record_held(upstream, held);
         }
-        self.confirmed.insert(upstream.clone());
-        self.learned.extend(held);
     }
 
     /// Chooses again after a `snapshot_not_held`. `None` when it has done so twice already: what is missing
@@ -126,12 +163,15 @@
         }
     }
 
-    /// Says whether `shard` may have come to hold `snapshot` unnoticed. A replica that stated otherwise
-    /// during the request speaks for its shard.
+    /// Says whether `shard` may have come to hold `snapshot` unnoticed: no replica of it has stated
+    /// otherwise since the snapshot was first named.
     fn may_have_changed(&self, shard: &ShardHolding, snapshot: SnapshotId) -> bool {
-        let mut replicas = shard.replicas.iter();
-        let is_stated = replicas.any(|replica| self.confirmed.contains(&replica.upstream));
-        self.learned.contains(&snapshot) && !is_stated
+        let Some(learned) = self.learned.get(&snapshot) else {
+            return false;
+        };
+        let replicas = shard.replicas.iter();
+        let mut stated = replicas.filter_map(|replica| self.stated.get(&replica.upstream));
+        !stated.any(|stated| stated > learned)
     }
 
     fn plan(&self, snapshot: Option<SnapshotId>, view: HoldingView) -> SnapshotPlan {
@@ -181,7 +221,7 @@
     /// A replica that stated nothing may hold anything: asking is the only way to learn, and a refusal
     /// states what is held.
     Stated,
-    /// Besides, statements from before the request may be outdated: their shard may hold any snapshot that
-    /// an upstream stated during the request.
+    /// Besides, a statement may be outdated: a shard may hold any snapshot that an upstream has named
+    /// since.
     Outdated,
 }
--- a/crates/anvilhub-coord/tests/answer_gather.rs
+++ b/crates/anvilhub-coord/tests/answer_gather.rs
@@ -245,3 +245,14 @@
     let plan = chooser.choose_again().unwrap();
     assert_eq!(show(&plan), "1: u00, u10, snapshot_unavailable");
 }
+
+#[test]
+fn earlier_statements_outdated() {
+    let mut chooser = chooser(&[&["1"], &["1"], &["1"]]);
+    chooser.record_held(&"u00".parse().unwrap(), &[SnapshotId(1)]);
+    chooser.record_held(&"u20".parse().unwrap(), &[SnapshotId(2)]);
+    // What was known before is no statement against snapshot 2.
+    chooser.refresh_held(&"u10".parse().unwrap(), &[SnapshotId(1)]);
+    let plan = chooser.choose_again().unwrap();
+    assert_eq!(show(&plan), "2: u00, u10, u20");
+}
--- a/crates/anvilhub-coord/tests/scenario/fan_out_world.rs
+++ b/crates/anvilhub-coord/tests/scenario/fan_out_world.rs
@@ -208,6 +208,7 @@
         }
         let range = upstream.range.intersect(flight.range);
         let mut answer = answer(flight.id.clone(), snapshot, range, "own");
+        answer.held = upstream.held.iter().copied().collect();
         if upstream.overclaims {
             answer.end += 5;
         }
@@ -231,8 +232,10 @@
     }
 
     fn accept(&mut self, flight: Flight, answer: SubAnswer) {
+        let held = answer.held.clone();
         let Err(fault) = self.gather.accept(&flight.id, answer) else {
-            return;
+            let upstream = name(flight.upstream).parse().unwrap();
+            return self.chooser.record_held(&upstream, &held);
         };
         if let AnswerFault::WrongSnapshot { .. } = fault {
             self.learn_held(flight.upstream);
