--- a/crates/anvilhub-coord/src/routing/mod.rs
+++ b/crates/anvilhub-coord/src/routing/mod.rs
@@ -26,7 +26,7 @@
 pub use slot_queue::{SlotOffer, SlotQueue, SlotRelease};
 pub use upstream_load::{ReplicaCandidate, UpstreamLoad};
 pub use upstream_view::{LeavingSignal, LoadReport, UpstreamView};
-pub(crate) use urgency_queue::{Displaced, UrgencyQueue};
+pub(crate) use urgency_queue::{Displaced, URGENCY_CLASSES, UrgencyQueue};
 
 /// Result of a replica choice.
 pub type Result<T, E = PickError> = std::result::Result<T, E>;
--- a/crates/anvilhubd/src/routes/shard_queue.rs
+++ b/crates/anvilhubd/src/routes/shard_queue.rs
@@ -6,6 +6,7 @@
 use anvilhub_coord::sheet::UrgencyClass;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::clock::DaemonClock;
 
@@ -13,8 +14,8 @@
 
 /// Sub-requests that may wait for the slots of one shard.
 const QUEUE_CAPACITY: usize = 256;
-/// Time below which no answer of an upstream in another failure domain can arrive.
-const LEAST_TIME: Duration = Duration::from_millis(3);
+/// Least time that a sub-request needs: the round trip to another failure domain and a short service time.
+const LEAST_TIME: Duration = Duration::from_millis(6);
 
 /// Why a sub-request got no slot; it was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,9 +66,12 @@
             receiver,
             queue: Arc::clone(self),
         };
-        (&mut wait.receiver)
-            .await
-            .unwrap_or(Err(SlotRefusal::Expired))
+        // The queue expires items when it is advanced; the wait itself ends in time to answer `not_run`.
+        let left = deadline.since(now).saturating_sub(LEAST_TIME);
+        match timeout(left, &mut wait.receiver).await {
+            Ok(Ok(answer)) => answer,
+            _ => Err(SlotRefusal::Expired),
+        }
     }
 
     /// Takes a free slot for a hedge, unless a sub-request waits for it.
