--- a/crates/anvilhub-dev/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-dev/tests/matrix/config_in_force.rs
@@ -25,6 +25,14 @@
     Ok(())
 }
 
+/// Lets the platform go back to the first sheet.
+fn serve_first_sheet(tier: &TestTier) -> Result<()> {
+    tier.platform.control(&PlatformCommand {
+        serve_sheet_revision: Some(PlatformRevision(1)),
+        ..PlatformCommand::default()
+    })
+}
+
 fn publish_everywhere(tier: &mut TestTier) -> Result<u64> {
     let version = tier.publish_next_sheet()?;
     for entry in &tier.entries {
@@ -37,10 +45,7 @@
 fn config_stale() -> Result<()> {
     let mut tier = start_tier(json!({}))?;
     let version = publish_everywhere(&mut tier)?;
-    tier.platform.control(&PlatformCommand {
-        serve_sheet_revision: Some(PlatformRevision(1)),
-        ..PlatformCommand::default()
-    })?;
+    serve_first_sheet(&tier)?;
 
     restart_second(&mut tier)?;
 
@@ -77,10 +82,7 @@
     tier.entries[1].child.pause()?;
     let version = tier.publish_next_sheet()?;
     wait_version(&tier.entries[0], version)?;
-    tier.platform.control(&PlatformCommand {
-        serve_sheet_revision: Some(PlatformRevision(1)),
-        ..PlatformCommand::default()
-    })?;
+    serve_first_sheet(&tier)?;
 
     tier.entries[1].child.signal(ProcessSignal::Continue)?;
 
--- a/crates/anvilhub-dev/tests/matrix/mod.rs
+++ b/crates/anvilhub-dev/tests/matrix/mod.rs
@@ -3,6 +3,7 @@
 mod answer_check;
 mod at_most_once;
 mod config_in_force;
+mod graceful_stop;
 mod leaving_upstream;
 mod one_snapshot;
 mod own_answer;
