Treat a reported leaving signal as a last resort, and let leaving end

Cause: load and health reports can be false, yet one that says 'draining' for every replica took a whole shard out of service; and an upstream that restarted between two polls stayed unused for ever, since no signal was revoked. Change: an upstream that only a report names as leaving is used when no other replica is left, and its first answer decides; reports to the contrary are believed 120 s after the last signal; the list alone revokes what it said. Ruled out: believing one contrary report at once, since reports lag behind a drain that has begun.

--- a/crates/anvilhub-coord/src/routing/upstream_view.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_view.rs
@@ -14,6 +14,9 @@
 const OBSERVATION_AGE: Duration = Duration::from_millis(100);
 /// Highest load that reports may add, in sub-requests. Reports can be false, so own evidence outweighs them.
 const MOST_REPORTED: f64 = 4.0;
+/// Time after the last leaving signal before reports to the contrary are believed. Longer than reports lag and
+/// than an upstream usually drains; without it, an upstream that restarts unseen would stay unused for ever.
+const LEAVING_MEMORY: Duration = Duration::from_secs(120);
 /// First ejection; each further one within `EJECTION_MEMORY` doubles it.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// Doublings after which an ejection becomes no longer: 32 s.
@@ -64,6 +67,7 @@
     failures: u32,
     others: Option<(ClockTime, u32)>,
     leaving: Option<LeavingSignal>,
+    leaving_seen: ClockTime,
     ejected_until: Option<ClockTime>,
     ejections: u32,
     trial: u32,
@@ -106,19 +110,49 @@
 
     /// Takes in a health or load report, which may lag or be false.
     pub fn reported(&mut self, now: ClockTime, report: LoadReport) {
+        if !report.draining {
+            self.forget_leaving(now);
+        }
         self.observe(now, report, LeavingSignal::Report);
     }
 
-    /// Marks the upstream as leaving. The first signal counts and none revokes it.
-    pub fn mark_leaving(&mut self, signal: LeavingSignal) {
-        self.leaving.get_or_insert(signal);
+    /// Marks the upstream as leaving at `now`. The first signal counts, except that any other one replaces a
+    /// mere report.
+    pub fn mark_leaving(&mut self, now: ClockTime, signal: LeavingSignal) {
+        self.leaving_seen = now;
+        match self.leaving {
+            None | Some(LeavingSignal::Report) => self.leaving = Some(signal),
+            Some(_) => {}
+        }
     }
 
-    /// The first leaving signal, if any.
+    /// The leaving signal, if any.
     pub fn leaving(&self) -> Option<LeavingSignal> {
         self.leaving
     }
 
+    /// Says whether nothing but a load or health report names the upstream as leaving. Reports can be false, so
+    /// such an upstream is a last resort instead of excluded.
+    fn is_only_reported(&self) -> bool {
+        self.leaving == Some(LeavingSignal::Report)
+    }
+
+    /// Forgets that the upstream was leaving when reports have contradicted it for long enough: another process
+    /// took its place. What the list says is revoked by the list alone.
+    fn forget_leaving(&mut self, now: ClockTime) {
+        let is_listed = self.leaving == Some(LeavingSignal::List);
+        if !is_listed && now.since(self.leaving_seen) >= LEAVING_MEMORY {
+            self.leaving = None;
+        }
+    }
+
+    /// Notes that the instance list names the upstream as live again.
+    pub fn mark_listed(&mut self) {
+        if self.leaving == Some(LeavingSignal::List) {
+            self.leaving = None;
+        }
+    }
+
     /// Starts afresh, for a new process under the same id. Attempts in flight stay counted.
     pub fn replaced(&mut self) {
         *self = Self {
@@ -184,8 +218,10 @@
         UpstreamLoad {
             in_flight: self.in_flight,
             expected: latency.mul_f64(held),
-            leaving: self.leaving.is_some(),
-            ejected: self.is_ejected(now) || (self.is_on_trial(now) && self.in_flight > 0),
+            leaving: self.leaving.is_some() && !self.is_only_reported(),
+            ejected: self.is_ejected(now)
+                || (self.is_on_trial(now) && self.in_flight > 0)
+                || self.is_only_reported(),
         }
     }
 
@@ -200,7 +236,7 @@
 
     fn observe(&mut self, now: ClockTime, load: LoadReport, signal: LeavingSignal) {
         if load.draining {
-            self.mark_leaving(signal);
+            self.mark_leaving(now, signal);
         }
         let time = now - load.age;
         if self.others.is_none_or(|(known, _)| known <= time) {
--- a/crates/anvilhub-coord/tests/matrix/leaving_upstream.rs
+++ b/crates/anvilhub-coord/tests/matrix/leaving_upstream.rs
@@ -68,7 +68,7 @@
 #[test]
 fn misleading_load() {
     let mut views = replicas();
-    views[0].mark_leaving(LeavingSignal::List);
+    views[0].mark_leaving(START, LeavingSignal::List);
     views[0].reported(START, CONTRADICTION);
 
     assert_unused(&views, START);
@@ -90,7 +90,7 @@
 #[test]
 fn replica_lost() {
     let mut views = replicas();
-    views[0].mark_leaving(LeavingSignal::Peer);
+    views[0].mark_leaving(START, LeavingSignal::Peer);
     for _ in 0..10 {
         views[1].sent();
         views[1].failed(Duration::from_millis(100));
@@ -103,7 +103,7 @@
 #[test]
 fn straggler_shard() {
     let mut views = replicas();
-    views[0].mark_leaving(LeavingSignal::Report);
+    views[0].mark_leaving(START, LeavingSignal::Report);
     for _ in 0..50 {
         views[1].sent();
     }
@@ -114,7 +114,7 @@
 #[test]
 fn process_paused() {
     let mut views = replicas();
-    views[0].mark_leaving(LeavingSignal::Answer);
+    views[0].mark_leaving(START, LeavingSignal::Answer);
 
     assert_unused(&views, START + Duration::from_secs(3_600));
 }
@@ -122,8 +122,8 @@
 #[test]
 fn upstream_partition() {
     let mut views = replicas();
-    views[0].mark_leaving(LeavingSignal::List);
-    views[1].mark_leaving(LeavingSignal::List);
+    views[0].mark_leaving(START, LeavingSignal::List);
+    views[1].mark_leaving(START, LeavingSignal::List);
     let mut rng = SmallRng::seed_from_u64(SEED);
 
     let choice = ReplicaPicker::default().pick(&candidates(&views, START), None, &mut rng);
--- a/crates/anvilhub-coord/tests/upstream_view.rs
+++ b/crates/anvilhub-coord/tests/upstream_view.rs
@@ -7,6 +7,10 @@
 
 const NOW: ClockTime = ClockTime(10_000_000);
 
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
 fn answered(latency_ms: u64) -> UpstreamView {
     let mut view = UpstreamView::default();
     for _ in 0..100 {
@@ -85,10 +89,54 @@
 #[test]
 fn new_process_may_be_used() {
     let mut view = answered(4);
-    view.mark_leaving(LeavingSignal::List);
+    view.mark_leaving(NOW, LeavingSignal::List);
     view.sent();
     view.replaced();
 
     assert_eq!(view.leaving(), None);
     assert_eq!(view.in_flight(), 1);
 }
+
+/// Guards against a shard without answers because a false report names all its replicas as leaving.
+#[test]
+fn report_alone_is_last_resort() {
+    let mut view = UpstreamView::default();
+    let draining = LoadReport {
+        draining: true,
+        ..LoadReport::default()
+    };
+
+    view.reported(at(1_000), draining);
+
+    let load = view.load(at(1_000));
+    assert!(!load.leaving && load.ejected, "{load:?}");
+    view.sent();
+    view.answered(at(1_001), Duration::from_millis(1), draining);
+    assert!(view.load(at(1_001)).leaving);
+}
+
+/// Guards against an upstream that restarts unseen and is never used again.
+#[test]
+fn restart_is_noticed() {
+    let mut view = UpstreamView::default();
+    view.mark_leaving(at(0), LeavingSignal::Refusal);
+
+    view.reported(at(119_000), LoadReport::default());
+    assert!(view.load(at(119_000)).leaving);
+
+    view.reported(at(120_000), LoadReport::default());
+    assert!(!view.load(at(120_000)).leaving);
+}
+
+/// Guards against an upstream that the list names as leaving and that a report brings back.
+#[test]
+fn list_outweighs_reports() {
+    let mut view = UpstreamView::default();
+    view.mark_leaving(at(0), LeavingSignal::List);
+
+    view.reported(at(600_000), LoadReport::default());
+    assert!(view.load(at(600_000)).leaving);
+
+    view.mark_listed();
+    assert!(!view.load(at(600_000)).leaving);
+}
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -152,7 +152,7 @@
     pub(crate) fn hear_peer(&self, message: ExchangeMessage, sent_at: Option<ClockTime>) {
         let is_draining = message.stage == PeerStage::Draining;
         if let Some(routes) = self.route_store.table() {
-            leaving_news::mark_told(&routes, &message.draining);
+            leaving_news::mark_told(&routes, &message.draining, self.clock.now());
         }
         self.members()
             .observe_answer(&message.sender, is_draining, self.clock.now());
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -113,7 +113,7 @@
         }
         self.divided = state;
         if let Some(list) = list {
-            leaving_news::mark_listed(routes, &list);
+            leaving_news::follow_list(routes, &list, self.context.clock.now());
         }
         for service in routes.services.values() {
             for shard in &service.shards {
--- a/crates/anvilhubd/src/routes/leaving_news.rs
+++ b/crates/anvilhubd/src/routes/leaving_news.rs
@@ -1,32 +1,34 @@
 //! News of leaving upstreams from the instance list and from peers.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 
-use anvilhub_coord::border::platform::{InstanceEntry, InstanceList, InstanceRole, InstanceState};
+use anvilhub_coord::border::platform::{InstanceList, InstanceRole, InstanceState};
 use anvilhub_coord::ids::UpstreamId;
 use anvilhub_coord::routing::LeavingSignal;
+use anvilhub_coord::time::ClockTime;
 
 use super::RouteTable;
 
-/// Marks the upstreams that the instance list names as leaving. The list names an upstream by its identifier
-/// in the sheet.
-pub(crate) fn mark_listed(routes: &RouteTable, list: &InstanceList) {
-    let is_leaving = |instance: &&InstanceEntry| {
-        instance.role == InstanceRole::Upstream && instance.state == InstanceState::Leaving
-    };
-    let leaving = list.instances.iter().filter(is_leaving);
-    let leaving: HashSet<&str> = leaving.map(|instance| instance.id.as_str()).collect();
+/// Follows the instance list, which names an upstream by its identifier in the sheet.
+pub(crate) fn follow_list(routes: &RouteTable, list: &InstanceList, now: ClockTime) {
+    let upstreams = list.instances.iter();
+    let upstreams = upstreams.filter(|instance| instance.role == InstanceRole::Upstream);
+    let states: HashMap<&str, InstanceState> = upstreams
+        .map(|instance| (instance.id.as_str(), instance.state))
+        .collect();
     for upstream in routes.upstreams() {
-        if leaving.contains(upstream.spec.id.as_str()) {
-            upstream.mark_leaving(LeavingSignal::List);
+        match states.get(upstream.spec.id.as_str()) {
+            Some(InstanceState::Leaving) => upstream.mark_leaving(now, LeavingSignal::List),
+            Some(InstanceState::Live) => upstream.mark_listed(),
+            None => {}
         }
     }
 }
 
 /// Marks the upstreams that told a peer that they are leaving.
-pub(crate) fn mark_told(routes: &RouteTable, draining: &[UpstreamId]) {
+pub(crate) fn mark_told(routes: &RouteTable, draining: &[UpstreamId], now: ClockTime) {
     for upstream in draining {
-        routes.mark_leaving(upstream, LeavingSignal::Peer);
+        routes.mark_leaving(now, upstream, LeavingSignal::Peer);
     }
 }
 
--- a/crates/anvilhubd/src/routes/route_table.rs
+++ b/crates/anvilhubd/src/routes/route_table.rs
@@ -4,6 +4,7 @@
 use anvilhub_coord::ids::{ServiceName, SheetDigest, SheetVersion, UpstreamId};
 use anvilhub_coord::routing::LeavingSignal;
 use anvilhub_coord::sheet::CheckedSheet;
+use anvilhub_coord::time::ClockTime;
 
 use crate::clock::DaemonClock;
 
@@ -47,10 +48,10 @@
     }
 
     /// Marks an upstream as leaving, such as by the instance list or a peer.
-    pub(crate) fn mark_leaving(&self, id: &UpstreamId, signal: LeavingSignal) {
+    pub(crate) fn mark_leaving(&self, now: ClockTime, id: &UpstreamId, signal: LeavingSignal) {
         let upstreams = self.upstreams();
         for upstream in upstreams.filter(|upstream| upstream.spec.id == *id) {
-            upstream.mark_leaving(signal);
+            upstream.mark_leaving(now, signal);
         }
     }
 
--- a/crates/anvilhubd/src/routes/upstream_route.rs
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -70,8 +70,14 @@
         self.state.with(|state| state.range)
     }
 
-    pub(crate) fn mark_leaving(&self, signal: LeavingSignal) {
-        self.state.with(|state| state.view.mark_leaving(signal));
+    pub(crate) fn mark_leaving(&self, now: ClockTime, signal: LeavingSignal) {
+        self.state
+            .with(|state| state.view.mark_leaving(now, signal));
+    }
+
+    /// Notes that the instance list names the upstream as live.
+    pub(crate) fn mark_listed(&self) {
+        self.state.with(|state| state.view.mark_listed());
     }
 
     pub(crate) fn leaving(&self) -> Option<LeavingSignal> {
