Keep callers' idle connections open, and check callers' input

Cause: the time for a request's head counts from the end of the request before it, so a balancer's idle connection was closed after 5 s, possibly while a request was on its way; request identifiers were not checked. Change: idle_timeout_ms (75 s) takes the place of body_timeout_ms for heads; IdentityFilter refuses identifiers that are no identifiers; tests for malformed, oversized, slow, half-closed and arbitrary input. Ruled out: no limit at all (a caller that never finishes a head would hold its connection for ever).

--- a/crates/anvilhub-coord/src/border/settings.rs
+++ b/crates/anvilhub-coord/src/border/settings.rs
@@ -64,6 +64,11 @@
 ///      "format": "uint64",
 ///      "minimum": 0.0
 ///    },
+///    "idle_timeout_ms": {
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
 ///    "instance": {
 ///      "description": "Identifier of the instance, as the platform lists it.",
 ///      "type": "string"
@@ -162,6 +167,8 @@
     pub failure_domain: ::std::option::Option<::std::string::String>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub gossip_interval_ms: ::std::option::Option<u64>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub idle_timeout_ms: ::std::option::Option<u64>,
     ///Identifier of the instance, as the platform lists it.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub instance: ::std::option::Option<::std::string::String>,
@@ -217,6 +224,7 @@
             drain_grace_ms: Default::default(),
             failure_domain: Default::default(),
             gossip_interval_ms: Default::default(),
+            idle_timeout_ms: Default::default(),
             instance: Default::default(),
             isolated_start_after_ms: Default::default(),
             log_level: Default::default(),
--- a/crates/anvilhubd/src/caller/caller_server.rs
+++ b/crates/anvilhubd/src/caller/caller_server.rs
@@ -61,7 +61,8 @@
         mut stop: watch::Receiver<bool>,
     ) -> impl Future<Output = ()> + Send + 'static {
         let handler = Arc::clone(&self.handler);
-        let header_timeout = self.context.settings.body_timeout;
+        // hyper counts the time between two requests as part of the time for the next head.
+        let idle_timeout = self.context.settings.idle_timeout;
         async move {
             let service = service_fn(move |request| {
                 let handler = Arc::clone(&handler);
@@ -69,7 +70,7 @@
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(header_timeout)
+                .header_read_timeout(idle_timeout)
                 .half_close(true)
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = pin!(connection);
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -15,7 +15,8 @@
 use crate::context::EntryContext;
 use crate::fanout::{FanoutRunner, run_batch};
 use crate::filters::{
-    CallerFilter, DeadlineFilter, EntryRequest, FilterChain, RequestError, Result, ServiceFilter,
+    CallerFilter, DeadlineFilter, EntryRequest, FilterChain, IdentityFilter, RequestError, Result,
+    ServiceFilter,
 };
 use crate::lifecycle::LifecycleStage;
 use crate::peer::{BatchAnswer, BatchMessage};
@@ -34,6 +35,7 @@
 impl QueryHandler {
     pub(crate) fn new(context: Arc<EntryContext>) -> Self {
         let chain = FilterChain::new(vec![
+            Box::new(IdentityFilter),
             Box::new(ServiceFilter),
             Box::new(CallerFilter),
             Box::new(DeadlineFilter {
--- a/crates/anvilhubd/src/filters/mod.rs
+++ b/crates/anvilhubd/src/filters/mod.rs
@@ -4,6 +4,7 @@
 mod deadline_filter;
 mod entry_request;
 mod filter_chain;
+mod identity_filter;
 mod request_error;
 mod service_filter;
 
@@ -11,6 +12,7 @@
 pub(crate) use deadline_filter::DeadlineFilter;
 pub(crate) use entry_request::EntryRequest;
 pub(crate) use filter_chain::{FilterChain, RequestFilter};
+pub(crate) use identity_filter::IdentityFilter;
 pub(crate) use request_error::RequestError;
 pub(crate) use service_filter::ServiceFilter;
 
--- a/crates/anvilhubd/src/settings.rs
+++ b/crates/anvilhubd/src/settings.rs
@@ -44,8 +44,11 @@
     pub max_caller_connections: u32,
     /// Longest deadline that a caller may ask for.
     pub max_deadline: Duration,
-    /// Longest time for a caller to send its headers, and then its body.
+    /// Longest time for a caller to send a request's body.
     pub body_timeout: Duration,
+    /// Longest time that a caller's connection may rest between requests. Longer than the balancer's, so that
+    /// the balancer closes first and never sends on a connection that is being closed.
+    pub idle_timeout: Duration,
     /// Longest time to open a connection to an upstream.
     pub connect_timeout: Duration,
     /// How long requests may still arrive after readiness is withdrawn.
@@ -83,6 +86,7 @@
             max_caller_connections: 4_096,
             max_deadline: Duration::from_secs(60),
             body_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(75),
             connect_timeout: Duration::from_millis(250),
             drain_grace: Duration::from_secs(5),
             isolated_start_after: None,
@@ -181,6 +185,8 @@
                 .unwrap_or(defaults.max_deadline),
             body_timeout: millis(document.body_timeout_ms, "body_timeout_ms")?
                 .unwrap_or(defaults.body_timeout),
+            idle_timeout: millis(document.idle_timeout_ms, "idle_timeout_ms")?
+                .unwrap_or(defaults.idle_timeout),
             connect_timeout: millis(document.connect_timeout_ms, "connect_timeout_ms")?
                 .unwrap_or(defaults.connect_timeout),
             drain_grace: millis(document.drain_grace_ms, "drain_grace_ms")?
--- /dev/null
+++ b/crates/anvilhubd/tests/caller_input.rs
@@ -0,0 +1,156 @@
+//! Guards against callers whose input breaks an instance, costs it memory, or affects other callers.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread::sleep;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde_json::{Value, json};
+
+use crate::fixture::{BODY_TIMEOUT, FakeUpstream, TestEntry, service, shard};
+
+/// Seed of the generated bodies, printed so that a failure can be repeated.
+const SEED: [u8; 32] = [17; 32];
+const FUZZED_BODIES: u32 = 200;
+
+fn query() -> Value {
+    json!({
+        "request_id": "r", "caller": "foreman", "service": "stock", "query": "kerb",
+        "deadline_ms": 5_000, "idempotent": true,
+    })
+}
+
+/// The query with one field replaced.
+fn query_with(field: &str, value: Value) -> String {
+    let mut query = query();
+    query[field] = value;
+    query.to_string()
+}
+
+fn head(length: usize) -> String {
+    format!("POST /v1/query HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n")
+}
+
+/// The status line of the next answer.
+fn read_status(stream: &mut TcpStream) -> String {
+    let mut received = [0; 64];
+    let length = stream.read(&mut received).expect("the daemon answers");
+    let text = String::from_utf8_lossy(&received[..length]).into_owned();
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn bad_requests_are_named() {
+    let upstream = FakeUpstream::sound();
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&upstream])]));
+    let oversized = query_with("query", "x".repeat(70_000).into());
+    let cases = [
+        ("{".to_owned(), 400, "malformed_body"),
+        (query_with("extra", json!(1)), 400, "malformed_body"),
+        (
+            query_with("request_id", json!("a b")),
+            400,
+            "malformed_body",
+        ),
+        (query_with("key", json!(1_u64 << 32)), 400, "unknown_key"),
+        (
+            query_with("caller", json!("stranger")),
+            403,
+            "caller_not_served",
+        ),
+        (
+            query_with("service", json!("nowhere")),
+            404,
+            "unknown_service",
+        ),
+        (query_with("deadline_ms", json!(0)), 504, "deadline_expired"),
+        (oversized, 413, "oversized_body"),
+    ];
+
+    for (body, status, code) in cases {
+        let (found, answer) = entry.post(body);
+        assert_eq!(
+            (found, &answer["error"]["code"]),
+            (status, &json!(code)),
+            "{answer}"
+        );
+        assert_eq!(answer["outcome"], "not_run", "{answer}");
+        assert!(answer["error"]["remedy"].is_string(), "{answer}");
+    }
+    assert_eq!(upstream.calls("/query").len(), 0);
+    assert_eq!(entry.search("r", "kerb", 5_000).0, 200);
+}
+
+#[test]
+fn half_closed_caller_is_answered() {
+    let upstream = FakeUpstream::sound();
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&upstream])]));
+    let body = query().to_string();
+    let mut stream = entry.connect();
+    write!(stream, "{}{body}", head(body.len())).expect("the daemon reads");
+
+    stream
+        .shutdown(Shutdown::Write)
+        .expect("the socket is open");
+
+    assert_eq!(read_status(&mut stream), "HTTP/1.1 200 OK");
+}
+
+#[test]
+fn slow_body_is_refused() {
+    let upstream = FakeUpstream::sound();
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&upstream])]));
+    let mut slow = entry.connect();
+    write!(slow, "{}{{", head(100)).expect("the daemon reads");
+
+    assert_eq!(entry.search("other", "kerb", 5_000).0, 200);
+    assert_eq!(read_status(&mut slow), "HTTP/1.1 408 Request Timeout");
+}
+
+#[test]
+fn idle_connection_is_kept() {
+    let upstream = FakeUpstream::sound();
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&upstream])]));
+    let body = query().to_string();
+    let mut stream = entry.connect();
+
+    // A balancer keeps its connections open between requests.
+    sleep(BODY_TIMEOUT * 2);
+    write!(stream, "{}{body}", head(body.len())).expect("the daemon reads");
+
+    assert_eq!(read_status(&mut stream), "HTTP/1.1 200 OK");
+}
+
+#[test]
+fn arbitrary_bodies() {
+    println!("seed {SEED:?}");
+    let upstream = FakeUpstream::sound();
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&upstream])]));
+    let config = Config {
+        cases: FUZZED_BODIES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner =
+        TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
+    let original = query().to_string().into_bytes();
+    let edits = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..8);
+
+    let outcome = runner.run(&edits, |edits| {
+        let mut body = original.clone();
+        for (index, byte) in edits {
+            let at = index.index(body.len());
+            body[at] = byte;
+        }
+        let (status, answer) = entry.post(body);
+        prop_assert!(
+            matches!(status, 200 | 400 | 403 | 404 | 428 | 504),
+            "{status} {answer}"
+        );
+        Ok(())
+    });
+
+    outcome.unwrap();
+    assert_eq!(entry.search("r", "kerb", 5_000).0, 200);
+}
