Fuzz the messages at the borders with a fixed seed

Cause: settings, callers' and upstreams' messages, tickets, lists and peers' messages had no property test. Change: every message kind is mutated at a random place and read as every kind, and passed on to the member table, the ticket conversion and the assembly of fetched sheets.

--- /dev/null
+++ b/crates/anvilhub-coord/tests/border_fuzz.rs
@@ -0,0 +1,142 @@
+//! Guards against a message of a caller, an upstream, the platform or a peer that makes an instance panic.
+
+use anvilhub_coord::border::platform::{ConfigValue, InstanceList};
+use anvilhub_coord::border::query::{QueryAnswer, QueryRequest, TicketEntry};
+use anvilhub_coord::border::settings::SettingsDocument;
+use anvilhub_coord::border::upstream::{LoadReport, SubAnswer, SubRefusal};
+use anvilhub_coord::configuration::{ExchangeMessage, FetchReply, FetchRequest};
+use anvilhub_coord::ids::SheetDigest;
+use anvilhub_coord::membership::MemberTable;
+use anvilhub_coord::ticket::RequestTicket;
+use anvilhub_coord::time::ClockTime;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde_json::{Value, json};
+
+/// Seed of the generated messages, printed so that a failure can be repeated.
+const SEED: [u8; 32] = [23; 32];
+const CASES: u32 = 3_000;
+
+/// A valid message of each kind.
+fn messages() -> Vec<Value> {
+    let digest = SheetDigest::of(b"sheet").to_string();
+    let identity = json!({
+        "instance": "entry-1", "incarnation": 7, "peer_address": "127.0.0.1:7201",
+        "failure_domain": "fd-a", "stage": "ready",
+        "accepted": {"version": 3, "revision": 4, "digest": digest},
+    });
+    vec![
+        json!({
+            "owner": "entry-1", "address": "127.0.0.1:7201", "incarnation": 7, "number": 1,
+            "nonce": 9, "service": "desk", "caller": "c", "expires_in_ms": 30_000,
+        }),
+        json!({
+            "request_id": "r", "caller": "c", "service": "desk", "deadline_ms": 10,
+            "idempotent": true, "key": 4_294_967_295_u64,
+        }),
+        json!({
+            "request_id": "r", "snapshot": 1, "start": 0, "end": 9, "held": [1],
+            "rows": [{"key": 1, "value": "v"}],
+        }),
+        json!({"request_id": "r", "outcome": "not_run", "reason": "shed", "held": []}),
+        json!({
+            "in_flight": 1, "queued": 2, "held": [1], "start": 0, "end": 9, "draining": false,
+        }),
+        json!({"revision": 1, "instances": [{
+            "id": "entry-2", "role": "entry", "address": "127.0.0.1:1",
+            "peer_address": "127.0.0.1:2", "state": "live",
+        }]}),
+        identity,
+        json!({
+            "stamp": {"version": 3, "revision": 4, "digest": digest}, "accepted": true,
+            "confirm_removals": [], "digests": {"desk": digest}, "services": [],
+        }),
+        json!({"instance": "entry-1", "peers": {"entry-2": "127.0.0.1:2"}, "worker_threads": 4}),
+    ]
+}
+
+/// Reads `text` as every kind of message and passes what can be read on.
+fn read_all(text: &str) {
+    if let Ok(entry) = serde_json::from_str::<TicketEntry>(text) {
+        let _ = RequestTicket::try_from(&entry);
+    }
+    if let Ok(list) = serde_json::from_str::<InstanceList>(text) {
+        let own = "entry-1".parse().expect("a constant identifier is valid");
+        let mut members = MemberTable::new(own, []);
+        members.apply_list(&list, ClockTime::from_millis(1));
+    }
+    if let Ok(reply) = serde_json::from_str::<FetchReply>(text) {
+        assert!(
+            reply.assemble(None).is_err(),
+            "a sheet without services is no sheet"
+        );
+    }
+    let _ = serde_json::from_str::<QueryRequest>(text);
+    let _ = serde_json::from_str::<QueryAnswer>(text);
+    let _ = serde_json::from_str::<SubAnswer>(text);
+    let _ = serde_json::from_str::<SubRefusal>(text);
+    let _ = serde_json::from_str::<LoadReport>(text);
+    let _ = serde_json::from_str::<ConfigValue>(text);
+    let _ = serde_json::from_str::<ExchangeMessage>(text);
+    let _ = serde_json::from_str::<FetchRequest>(text);
+    let _ = serde_json::from_str::<SettingsDocument>(text);
+}
+
+/// Replaces the value at a random place by a random one.
+fn mutate(value: &mut Value, path: &[prop::sample::Index], new: &Value) {
+    let Some((first, rest)) = path.split_first() else {
+        *value = new.clone();
+        return;
+    };
+    match value {
+        Value::Object(fields) if !fields.is_empty() => {
+            let place = first.index(fields.len());
+            let field = fields.values_mut().nth(place);
+            mutate(field.expect("the place exists"), rest, new);
+        }
+        Value::Array(items) if !items.is_empty() => {
+            let place = first.index(items.len());
+            mutate(&mut items[place], rest, new);
+        }
+        other => *other = new.clone(),
+    }
+}
+
+fn replacement() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<u64>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,40}".prop_map(Value::from),
+        Just(json!([])),
+        Just(json!({})),
+    ]
+}
+
+#[test]
+fn mutated_messages() {
+    println!("seed {SEED:?}");
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut runner =
+        TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED));
+    let messages = messages();
+    for message in &messages {
+        read_all(&message.to_string());
+    }
+    let places = prop::collection::vec(any::<prop::sample::Index>(), 1..4);
+    let inputs = (any::<prop::sample::Index>(), places, replacement());
+
+    let outcome = runner.run(&inputs, |(kind, path, new)| {
+        let mut message = kind.get(&messages).clone();
+        mutate(&mut message, &path, &new);
+        read_all(&message.to_string());
+        Ok(())
+    });
+
+    outcome.unwrap();
+}
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -5,6 +5,7 @@
 mod admission_gate;
 mod answer_gather;
 mod attempt_rule;
+mod border_fuzz;
 mod connection_ledger;
 mod connection_share;
 mod ejection_policy;
