Let an idle gate admit a request whatever it expects

Cause: only finished requests change the estimate of the service time. After a time with answers slower than the callers' deadlines every request was refused as too late, none ran, and the estimate stayed.

Change: while no request runs, one is let in. The daemon reports the class of a finished request, which the gate keeps apart now.

Ruled out: letting the estimate decay with time, which would also admit hopeless requests under overload.

--- a/crates/anvilhub-coord/src/admission/admission_gate.rs
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -173,7 +173,13 @@
                 self.wait.wait(ahead, self.limit.get())
             }
         };
-        if now + estimated_wait + self.wait.usual_service(urgency) >= deadline {
+        // Only finished requests change the estimate, so while none runs one is let in whatever it says:
+        // otherwise it would refuse for ever after a slow time.
+        let expected = match self.running {
+            0 => Duration::ZERO,
+            _ => estimated_wait + self.wait.usual_service(urgency),
+        };
+        if now + expected >= deadline {
             return AdmissionArrival {
                 verdict: AdmissionVerdict::Refused(Refusal {
                     item,
--- a/crates/anvilhub-coord/tests/admission_gate.rs
+++ b/crates/anvilhub-coord/tests/admission_gate.rs
@@ -153,3 +153,21 @@
     assert!(peak >= 600, "goodput collapsed at the peak: {peak}");
     assert!(after >= 380, "goodput did not return: {after}");
 }
+
+/// A service that was slower than its callers' deadlines for a while must be tried again.
+#[test]
+fn idle_gate_recovers() {
+    let mut gate = gate(100);
+    let mut now = ClockTime(0) + SERVICE;
+    for item in 0..50 {
+        let arrival = gate.arrive(now, Standard, now + 20 * PATIENCE, item);
+        assert_eq!(arrival.verdict, AdmissionVerdict::Start(item));
+        now = now + 10 * PATIENCE;
+        gate.finish_as(now, Standard, 10 * PATIENCE);
+    }
+
+    let arrival = gate.arrive(now, Standard, now + PATIENCE, 100);
+    assert_eq!(arrival.verdict, AdmissionVerdict::Start(100));
+    let behind = gate.arrive(now, Standard, now + PATIENCE, 101);
+    assert_eq!(reason(&behind.verdict), Some(RefusalReason::TooLate));
+}
--- a/crates/anvilhubd/src/admission/service_gate.rs
+++ b/crates/anvilhubd/src/admission/service_gate.rs
@@ -22,7 +22,11 @@
 }
 
 type GateAnswer = Result<AdmissionPermit, GateRefusal>;
-type GateWaiter = oneshot::Sender<GateAnswer>;
+
+struct GateWaiter {
+    urgency: UrgencyClass,
+    sender: oneshot::Sender<GateAnswer>,
+}
 
 /// The bounded queue in front of one service.
 pub(crate) struct ServiceGate {
@@ -52,12 +56,12 @@
         let now = self.clock.now();
         let arrival = self
             .gate
-            .with(|gate| gate.arrive(now, urgency, deadline, sender));
+            .with(|gate| gate.arrive(now, urgency, deadline, GateWaiter { urgency, sender }));
         if let Some(shed) = arrival.shed {
             refuse(shed);
         }
         match arrival.verdict {
-            AdmissionVerdict::Start(_) => return Ok(self.permit(now)),
+            AdmissionVerdict::Start(_) => return Ok(self.permit(urgency, now)),
             AdmissionVerdict::Refused(refusal) => return Err(reason_of(&refusal)),
             AdmissionVerdict::Queued => {}
         }
@@ -84,21 +88,24 @@
             .with(|gate| (gate.running(), gate.waiting(), gate.limit()))
     }
 
-    pub(super) fn finish(self: &Arc<Self>, started: ClockTime) {
+    pub(super) fn finish(self: &Arc<Self>, urgency: UrgencyClass, started: ClockTime) {
         let now = self.clock.now();
-        let release = self.gate.with(|gate| gate.finish(now, now.since(started)));
+        let release = self
+            .gate
+            .with(|gate| gate.finish_as(now, urgency, now.since(started)));
         self.hand_out(now, release);
     }
 
-    fn permit(self: &Arc<Self>, started: ClockTime) -> AdmissionPermit {
-        AdmissionPermit::new(Arc::clone(self), started)
+    fn permit(self: &Arc<Self>, urgency: UrgencyClass, started: ClockTime) -> AdmissionPermit {
+        AdmissionPermit::new(Arc::clone(self), urgency, started)
     }
 
     /// Runs without the lock: a waiter that is gone drops its permit, which ends the request.
     fn hand_out(self: &Arc<Self>, now: ClockTime, release: AdmissionRelease<GateWaiter>) {
         release.refused.into_iter().for_each(refuse);
         for waiter in release.start {
-            let _ = waiter.send(Ok(self.permit(now)));
+            let permit = self.permit(waiter.urgency, now);
+            let _ = waiter.sender.send(Ok(permit));
         }
     }
 }
@@ -106,7 +113,7 @@
 fn refuse(refusal: Refusal<GateWaiter>) {
     let reason = reason_of(&refusal);
     // The waiter may be gone already.
-    let _ = refusal.item.send(Err(reason));
+    let _ = refusal.item.sender.send(Err(reason));
 }
 
 fn reason_of(refusal: &Refusal<GateWaiter>) -> GateRefusal {
@@ -127,7 +134,7 @@
         let gone = self
             .gate
             .gate
-            .with(|gate| gate.withdraw(GateWaiter::is_closed));
+            .with(|gate| gate.withdraw(|waiter| waiter.sender.is_closed()));
         drop(gone);
     }
 }
