Let the balancer of the planned stop lag

Cause: a balancer that looks before each request hides an entry that stops serving as soon as it is not ready.

Change: the balancer of `graceful_stop::planned_stop` looks every 200 ms, a tenth of the entry's grace, and callers go on after the entry's end.

--- a/crates/anvilhub-dev/tests/matrix/graceful_stop.rs
+++ b/crates/anvilhub-dev/tests/matrix/graceful_stop.rs
@@ -1,19 +1,57 @@
 //! Guards against a planned stop that cuts or refuses a request that the balancer still sent.
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use anvilhub_coord::border::query::QueryOutcome;
-use anvilhub_dev::process::{HttpCall, ProcessSignal, QueryCall};
+use anvilhub_dev::process::{EntryProcess, HttpCall, ProcessSignal, QueryCall};
 use eyre::{Result, ensure};
 use serde_json::json;
 
 use super::answer_check::{check_effects, is_complete, search, start_tier, under_load};
 
+/// Time between two looks of the balancer; a tenth of the entry's grace.
+const BALANCER_LAG: Duration = Duration::from_millis(200);
 /// Callers that send without a pause.
 const CALLERS: usize = 4;
-/// Requests through both entries before the stop.
-const FIRST_REQUESTS: usize = 10;
+/// Requests before the stop, and again after it, while the other callers go on.
+const FURTHER_REQUESTS: usize = 10;
+
+/// Spreads requests over two entries as long as the first was ready when it last looked.
+struct LaggingBalancer {
+    ready_call: HttpCall,
+    addresses: [SocketAddr; 2],
+    turns: AtomicUsize,
+    seen: Mutex<Option<(Instant, bool)>>,
+}
+
+impl LaggingBalancer {
+    fn new(first: &EntryProcess, second: &EntryProcess) -> Self {
+        Self {
+            ready_call: HttpCall::to(first.plan.operator_address),
+            addresses: [first.plan.caller_address, second.plan.caller_address],
+            turns: AtomicUsize::new(0),
+            seen: Mutex::default(),
+        }
+    }
+
+    fn choose(&self) -> SocketAddr {
+        let turn = self.turns.fetch_add(1, Ordering::SeqCst);
+        let mut seen = self.seen.lock().expect("no caller panics");
+        let is_ready = match *seen {
+            Some((at, is_ready)) if at.elapsed() < BALANCER_LAG => is_ready,
+            _ => {
+                let answer = self.ready_call.get("/ready");
+                let is_ready = answer.is_ok_and(|(status, _)| status == 200);
+                *seen = Some((Instant::now(), is_ready));
+                is_ready
+            }
+        };
+        self.addresses[usize::from(!is_ready) | (turn % 2)]
+    }
+}
 
 fn send_search(entry: SocketAddr) -> Result<()> {
     let (status, answer) = QueryCall::search("stock", "foreman")?.send(entry)?;
@@ -32,20 +70,8 @@
     tier.upstreams
         .command(json!({ "set": { "service_us": 20_000 } }))?;
     let mut stopping = tier.entries.remove(0);
-    let addresses = [
-        stopping.plan.caller_address,
-        tier.entries[0].plan.caller_address,
-    ];
-    // The balancer: it sends to both entries while the first says that it is ready.
-    let ready_call = HttpCall::to(stopping.plan.operator_address);
-    let turns = AtomicUsize::new(0);
-    let balance = || {
-        let turn = turns.fetch_add(1, Ordering::SeqCst);
-        let is_ready = ready_call
-            .get("/ready")
-            .is_ok_and(|(status, _)| status == 200);
-        addresses[usize::from(!is_ready) | (turn % 2)]
-    };
+    let balancer = LaggingBalancer::new(&stopping, &tier.entries[0]);
+    let balance = || balancer.choose();
     let send_booking = || {
         let call = QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(balance())?;
         let (status, answer) = call.send(balance())?;
@@ -60,12 +86,15 @@
         CALLERS,
         || send_search(balance()).and_then(|()| send_booking()),
         || {
-            for _ in 0..FIRST_REQUESTS {
+            for _ in 0..FURTHER_REQUESTS {
                 send_search(balance())?;
             }
             stopping.child.signal(ProcessSignal::Terminate)?;
             let exit = stopping.child.wait_exit()?;
             ensure!(exit.success(), "the entry ended with {exit}");
+            for _ in 0..FURTHER_REQUESTS {
+                send_search(balance())?;
+            }
             Ok(())
         },
     )?;
