Send nothing by what was believed before a pause, and blame upstreams less

Cause: an attempt that waited for a connection while the process was paused was sent afterwards without a check; and an attempt that was never sent because this instance's own connections were in use counted as a failure of the upstream, which could eject it. Change: an attempt waits for the sheet's confirmation first and is not sent when a pause lies in between (the retry confirms again); PoolError::Unsent is kept apart from Unconnected and leaves the view as it was. Ruled out: giving up the whole request after a pause, which would lose answers that are already there.

--- a/crates/anvilhub-coord/src/routing/upstream_view.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_view.rs
@@ -102,6 +102,11 @@
         self.add_lower_bound(waited);
     }
 
+    /// Takes back an attempt that was never sent, for a reason that says nothing about the upstream.
+    pub fn unsent(&mut self) {
+        self.finish();
+    }
+
     /// Counts an attempt that was cancelled `waited` after sending, because another one was answered first.
     pub fn cancelled(&mut self, waited: Duration) {
         self.finish();
--- a/crates/anvilhubd/src/fanout/sub_attempt.rs
+++ b/crates/anvilhubd/src/fanout/sub_attempt.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,7 +32,9 @@
     pub(super) fn state(&self) -> AttemptState {
         match &self.result {
             Ok(_) => AttemptState::Answered,
-            Err(PoolError::Unconnected { .. }) => AttemptState::ConnectFailed,
+            Err(PoolError::Unconnected { .. } | PoolError::Unsent { .. }) => {
+                AttemptState::ConnectFailed
+            }
             Err(PoolError::Refused { .. }) => AttemptState::Refused,
             Err(PoolError::Broken { .. }) => AttemptState::Broken,
             Err(PoolError::Timeout { .. }) => AttemptState::TimedOut,
@@ -71,8 +74,15 @@
             false => RepeatPolicy::NonIdempotent,
         };
         let address = self.upstream.spec.address;
+        let acquire = async {
+            // After a pause nothing is sent by what was believed before it.
+            match self.context.confirm_sheet(self.query.body.deadline).await {
+                true => self.context.pool.acquire(address, repeat, left).await,
+                false => Err(unsent(address, "the sheet in force is not confirmed")),
+            }
+        };
         let lease = tokio::select! {
-            lease = self.context.pool.acquire(address, repeat, left) => lease,
+            lease = acquire => lease,
             () = done.closed() => return self.withdraw(sent),
         };
         match lease {
@@ -90,10 +100,16 @@
         let address = self.upstream.spec.address;
         let now = self.context.clock.now();
         let deadline = self.query.body.deadline;
-        let Some(deadline_ms) = after_hop(now, deadline) else {
-            lease.rest();
-            let reason = "no time was left when a connection was ready".to_owned();
-            return self.end(done, sent, Err(PoolError::Unconnected { address, reason }));
+        let deadline_ms = match after_hop(now, deadline) {
+            Some(deadline_ms) if !self.context.was_paused_since(sent) => deadline_ms,
+            late => {
+                lease.rest();
+                let reason = match late {
+                    Some(_) => "the process was paused before a connection was ready",
+                    None => "no time was left when a connection was ready",
+                };
+                return self.end(done, sent, Err(unsent(address, reason)));
+            }
         };
         let message = self.query.message(self.id.clone(), deadline_ms);
         let exchange = lease.query(&message, self.context.pool.max_answer());
@@ -157,6 +173,7 @@
         match &result {
             Ok(answer) => self.upstream.answered(now, sent, answer),
             Err(PoolError::Refused { refusal }) => self.upstream.refused(now, refusal),
+            Err(PoolError::Unsent { .. }) => self.upstream.state.with(|state| state.view.unsent()),
             Err(error) => {
                 self.upstream.state.with(|state| state.view.failed(waited));
                 if matches!(error, PoolError::Unconnected { .. }) {
@@ -192,3 +209,11 @@
         }
     }
 }
+
+/// The end of an attempt that was not sent.
+fn unsent(address: SocketAddr, reason: &str) -> PoolError {
+    PoolError::Unsent {
+        address,
+        reason: reason.to_owned(),
+    }
+}
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -283,7 +283,9 @@
             RefusalReason::Draining => MissingReason::NoReplica,
             RefusalReason::Shed | RefusalReason::Cold => MissingReason::Shed,
         },
-        PoolError::Timeout { .. } | PoolError::Broken { .. } => MissingReason::Timeout,
+        PoolError::Unsent { .. } | PoolError::Timeout { .. } | PoolError::Broken { .. } => {
+            MissingReason::Timeout
+        }
         PoolError::BadAnswer { .. } | PoolError::OversizedAnswer { .. } => MissingReason::BadAnswer,
     }
 }
--- a/crates/anvilhubd/src/pool/pool_error.rs
+++ b/crates/anvilhubd/src/pool/pool_error.rs
@@ -10,6 +10,9 @@
     /// No connection was opened, so nothing was sent.
     #[display("cannot connect to {address}: {reason}")]
     Unconnected { address: SocketAddr, reason: String },
+    /// Nothing was sent, for a reason that says nothing about the upstream.
+    #[display("nothing was sent to {address}: {reason}")]
+    Unsent { address: SocketAddr, reason: String },
     /// The upstream states that the sub-request did not run.
     #[display("the upstream refused the sub-request: {}", refusal.reason)]
     Refused {
--- a/crates/anvilhubd/src/pool/upstream_pool.rs
+++ b/crates/anvilhubd/src/pool/upstream_pool.rs
@@ -58,7 +58,7 @@
         let link = self.link(address);
         let lease = timeout(patience, link.acquire(repeat)).await;
         let lease = lease.unwrap_or_else(|_| {
-            Err(PoolError::Unconnected {
+            Err(PoolError::Unsent {
                 address,
                 reason: "every connection of the share was in use".to_owned(),
             })
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -75,7 +75,7 @@
         let result = self.send(lease, run, replica.address).await;
         let tried = match &result {
             Ok(_) => TryResult::Answered,
-            Err(PoolError::Unconnected { .. }) => TryResult::NeverOpened,
+            Err(PoolError::Unconnected { .. } | PoolError::Unsent { .. }) => TryResult::NeverOpened,
             Err(PoolError::Refused { .. }) => TryResult::Refused,
             Err(_) => TryResult::Lost,
         };
