--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -9,12 +9,14 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use log::info;
+use metrics::counter;
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
 use crate::fanout::{FanoutRunner, run_batch};
 use crate::filters::{
-    CallerFilter, DeadlineFilter, EntryRequest, FilterChain, RequestError, Result, ServiceFilter,
+    CallerFilter, DeadlineFilter, EntryRequest, FilterChain, IdentityFilter, RequestError, Result,
+    ServiceFilter,
 };
 use crate::lifecycle::LifecycleStage;
 use crate::peer::{BatchAnswer, BatchMessage};
@@ -33,6 +35,7 @@
 impl QueryHandler {
     pub(crate) fn new(context: Arc<EntryContext>) -> Self {
         let chain = FilterChain::new(vec![
+            Box::new(IdentityFilter),
             Box::new(ServiceFilter),
             Box::new(CallerFilter),
             Box::new(DeadlineFilter {
@@ -150,6 +153,7 @@
 }
 
 fn refuse(error: &RequestError, request_id: RequestId) -> (StatusCode, QueryAnswer) {
+    counter!("anvilhub_refused_requests_total", "code" => error.code()).increment(1);
     info!(request_id:% = request_id, code = error.code(); "request refused: {error}");
     (error.status(), error.answer(request_id))
 }
