Start controllers in one place, and name a pause as the reason for not running

Cause: five controllers repeated the start of their thread; a ticketed request that a pause stopped was answered as 'the instance is overloaded'. Change: controller_thread::start; NotRunReason::Paused. Ruled out: a trait for controllers, since nothing calls them by a common interface.

--- a/crates/anvilhub-coord/src/ticket/ticket_outcome.rs
+++ b/crates/anvilhub-coord/src/ticket/ticket_outcome.rs
@@ -28,6 +28,9 @@
     /// The instance shed the request before it was sent.
     #[display("the instance is overloaded")]
     Shed,
+    /// The process was paused before the request was sent.
+    #[display("the process was paused before the request was sent")]
+    Paused,
     /// No upstream of the key's shard takes requests.
     #[display("no upstream of the key takes requests")]
     NoUpstream,
@@ -63,6 +66,7 @@
             Self::Expired => "ticket_expired",
             Self::DeadlinePassed => "deadline_passed",
             Self::Shed => "shed",
+            Self::Paused => "paused",
             Self::NoUpstream => "no_upstream",
             Self::Refused => "refused",
         }
--- a/crates/anvilhubd/src/controllers/config_controller.rs
+++ b/crates/anvilhubd/src/controllers/config_controller.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use anvilhub_coord::configuration::{SheetAction, SheetInput};
@@ -7,13 +6,13 @@
 use anvilhub_coord::membership::GossipPlan;
 use anvilhub_coord::sheet::AcceptedSheet;
 use crossbeam::channel::{Sender, select, tick};
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use log::{error, info, warn};
 use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
 
-use super::PeerExchange;
+use super::{PeerExchange, controller_thread};
 
 /// Interval at which the acceptor looks at the time.
 const TICK: Duration = Duration::from_millis(100);
@@ -42,11 +41,7 @@
     }
 
     pub(crate) fn spawn(self) -> Result<()> {
-        thread::Builder::new()
-            .name("configuration".to_owned())
-            .spawn(move || self.run())
-            .wrap_err("cannot start the configuration controller")?;
-        Ok(())
+        controller_thread::start("configuration", move || self.run())
     }
 
     fn run(mut self) {
--- a/crates/anvilhubd/src/controllers/heartbeat_controller.rs
+++ b/crates/anvilhubd/src/controllers/heartbeat_controller.rs
@@ -2,10 +2,12 @@
 use std::thread;
 use std::time::Duration;
 
-use eyre::{Result, WrapErr};
+use eyre::Result;
 
 use crate::context::EntryContext;
 
+use super::controller_thread;
+
 /// Interval of heartbeats; well below the shortest sensible pause limit.
 const HEARTBEAT: Duration = Duration::from_millis(50);
 
@@ -20,11 +22,7 @@
     }
 
     pub(crate) fn spawn(self) -> Result<()> {
-        thread::Builder::new()
-            .name("heartbeat".to_owned())
-            .spawn(move || self.run())
-            .wrap_err("cannot start the heartbeat controller")?;
-        Ok(())
+        controller_thread::start("heartbeat", move || self.run())
     }
 
     fn run(self) {
--- a/crates/anvilhubd/src/controllers/member_controller.rs
+++ b/crates/anvilhubd/src/controllers/member_controller.rs
@@ -4,13 +4,13 @@
 
 use anvilhub_coord::border::platform::InstanceList;
 use anvilhub_coord::configuration::SheetInput;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use log::{info, warn};
 use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
 
-use super::PlatformClient;
+use super::{PlatformClient, controller_thread};
 
 /// How long one watch waits for a newer list.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -30,11 +30,7 @@
     }
 
     pub(crate) fn spawn(self) -> Result<()> {
-        thread::Builder::new()
-            .name("members".to_owned())
-            .spawn(move || self.run())
-            .wrap_err("cannot start the member controller")?;
-        Ok(())
+        controller_thread::start("members", move || self.run())
     }
 
     fn run(self) {
--- a/crates/anvilhubd/src/controllers/mod.rs
+++ b/crates/anvilhubd/src/controllers/mod.rs
@@ -2,6 +2,7 @@
 
 mod config_controller;
 mod config_state;
+mod controller_thread;
 mod heartbeat_controller;
 mod member_controller;
 mod peer_exchange;
--- a/crates/anvilhubd/src/controllers/platform_watcher.rs
+++ b/crates/anvilhubd/src/controllers/platform_watcher.rs
@@ -4,13 +4,13 @@
 
 use anvilhub_coord::configuration::{ReaderElection, SheetInput};
 use anvilhub_coord::ids::PlatformRevision;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use log::{debug, warn};
 use metrics::counter;
 
 use crate::context::EntryContext;
 
-use super::PlatformClient;
+use super::{PlatformClient, controller_thread};
 
 /// How long one watch waits for a newer sheet.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -37,11 +37,7 @@
     }
 
     pub(crate) fn spawn(self) -> Result<()> {
-        thread::Builder::new()
-            .name("platform".to_owned())
-            .spawn(move || self.run())
-            .wrap_err("cannot start the platform watcher")?;
-        Ok(())
+        controller_thread::start("platform", move || self.run())
     }
 
     fn run(self) {
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -1,7 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use anvilhub_coord::connection::ConnectionShare;
@@ -10,7 +9,7 @@
 use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
 use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::tick;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use log::{debug, warn};
 use metrics::{counter, gauge};
 use tokio::runtime::Handle;
@@ -22,6 +21,8 @@
 use crate::routes::leaving_news;
 use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
+use super::controller_thread;
+
 /// Time between two rounds: queues are advanced a few times per second at least.
 const ROUND_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two load reports of an upstream.
@@ -58,11 +59,7 @@
     }
 
     pub(crate) fn spawn(self) -> Result<()> {
-        thread::Builder::new()
-            .name("upstreams".to_owned())
-            .spawn(move || self.run())
-            .wrap_err("cannot start the upstream controller")?;
-        Ok(())
+        controller_thread::start("upstreams", move || self.run())
     }
 
     fn run(mut self) {
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -67,7 +67,7 @@
         };
         // The decision comes after the wait for the connection: the process may have been paused in it.
         if self.context.was_paused_since(self.request.arrived) {
-            return Some(TicketOutcome::NotRun(NotRunReason::Shed));
+            return Some(TicketOutcome::NotRun(NotRunReason::Paused));
         }
         if let SendDecision::Stop(outcome) = run.may_send(self.context.clock.now()) {
             return Some(outcome);
