--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -273,7 +273,7 @@
     fn refresh_holdings(&mut self) {
         for replica in self.shards.iter().flat_map(|shard| &shard.replicas) {
             if let Some(held) = replica.held() {
-                self.chooser.record_held(&replica.spec.id, &held);
+                self.chooser.refresh_held(&replica.spec.id, &held);
             }
         }
     }
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -17,7 +17,7 @@
 
 use crate::context::EntryContext;
 use crate::pool::PoolError;
-use crate::routes::{SlotGuard, SlotRefusal, UpstreamRoute};
+use crate::routes::{SlotGuard, SlotRefusal, UpstreamRoute, states_held};
 
 use super::{AttemptEnd, SubAttempt, SubQuery};
 
@@ -133,7 +133,7 @@
                 answer.request_id = self.query.id.clone();
                 return Some(answer);
             }
-            Err(PoolError::Refused { ref refusal }) => {
+            Err(PoolError::Refused { ref refusal }) if states_held(refusal) => {
                 self.held.push((id.clone(), refusal.held.clone()));
             }
             Err(_) => {}
--- a/crates/anvilhubd/src/pool/answer_body.rs
+++ b/crates/anvilhubd/src/pool/answer_body.rs
@@ -28,7 +28,11 @@
 }
 
 fn parse_answer(address: SocketAddr, request: &SubRequest, body: &[u8]) -> Result<SubAnswer> {
-    let answer: SubAnswer = parse(address, body)?;
+    let mut answer: SubAnswer = parse(address, body)?;
+    if answer.held.is_empty() {
+        // The statement is optional, and the answer shows that its own snapshot is held.
+        answer.held.push(answer.snapshot);
+    }
     let is_other = answer.request_id != request.request_id;
     if is_other && !mutation::is_active("crossed_answer_accepted") {
         let reason = format!("it answers request {}", answer.request_id);
--- a/crates/anvilhubd/src/routes/upstream_route.rs
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -107,7 +107,9 @@
         };
         self.state.with(|state| {
             state.view.refused(now, load);
-            state.held = Some(refusal.held.clone());
+            if states_held(refusal) {
+                state.held = Some(refusal.held.clone());
+            }
             if refusal.reason == RefusalReason::Cold && !state.view.is_ejected(now) {
                 state.view.eject(now);
             }
@@ -138,3 +140,8 @@
             .with(|state| state.gone |= state.view.leaving().is_some());
     }
 }
+
+/// Says whether a refusal states what its upstream holds; the statement is optional.
+pub(crate) fn states_held(refusal: &SubRefusal) -> bool {
+    !refusal.held.is_empty() || refusal.reason == RefusalReason::SnapshotNotHeld
+}
--- a/crates/anvilhubd/src/tickets/ticket_service.rs
+++ b/crates/anvilhubd/src/tickets/ticket_service.rs
@@ -208,7 +208,7 @@
         Err(error) => {
             counter!("anvilhub_forward_failures_total").increment(1);
             warn!(request_id:% = request_id, owner:% = owner; "the ticket's owner cannot be reached: {error}");
-            TicketOutcome::Unknown(UnknownReason::OwnerUnreachable).to_answer(request_id)
+            ForwardDecision::without_answer().to_answer(request_id)
         }
     }
 }
