Find moved keys at shards of other owners

Cause: an instance knows the ranges only of upstreams that it sends to. After a repartition it could not ask for keys that moved to a shard of another owner, and reported them as missing until the next sheet.

Change: it asks the nearer neighbour shard through its owner, once for each gap. Owners and the instance itself prefer replicas whose reported range still covers what is asked. The line of a placement names the number of owners.

Ruled out: polling every upstream of the service from every instance, which grows with the product of both.

--- a/crates/anvilhubd/src/fanout/batch_run.rs
+++ b/crates/anvilhubd/src/fanout/batch_run.rs
@@ -55,12 +55,13 @@
         deadline: context.clock.now() + left,
         service,
     };
+    let range = KeyRange::new(item.request.start, item.request.end);
     Some(SubQuery {
         id: item.request.request_id,
         body: Arc::new(body),
-        candidates: shard.replicas.clone(),
+        candidates: shard.covering(range),
         shard,
-        range: KeyRange::new(item.request.start, item.request.end),
+        range,
         snapshot: item.request.snapshot,
     })
 }
--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -119,11 +119,12 @@
             }
         }
         let snapshot = self.gather.snapshot().map(|snapshot| snapshot.to_string());
+        let sub_requests = queries.len();
+        let owners = self.start(queries);
         info!(
             request_id:% = self.body.request_id, service:% = self.body.service.spec.name, snapshot:?,
-            sub_requests = queries.len(), reason; "request placed"
+            sub_requests, owners, reason; "request placed"
         );
-        self.start(queries);
     }
 
     fn sub_query(
@@ -142,7 +143,8 @@
         }
     }
 
-    fn start(&mut self, queries: Vec<SubQuery>) {
+    /// Starts sub-requests, and gives the number of other instances that run some of them.
+    fn start(&mut self, queries: Vec<SubQuery>) -> usize {
         let mut batches: BTreeMap<SocketAddr, Vec<SubQuery>> = BTreeMap::new();
         for query in queries {
             self.gather.expect(query.id.clone(), query.range);
@@ -151,6 +153,7 @@
                 None => self.start_direct(query),
             }
         }
+        let owners = batches.len();
         for (owner, queries) in batches {
             let call = BatchCall {
                 context: Arc::clone(&self.context),
@@ -159,6 +162,7 @@
             };
             self.running.push(call.run().boxed());
         }
+        owners
     }
 
     /// The other instance that runs a sub-request, if any.
@@ -229,6 +233,9 @@
                 }
             }
         }
+        for &gap in gaps.ranges() {
+            queries.extend(self.ask_neighbour(gap));
+        }
         if queries.is_empty() {
             return;
         }
@@ -239,6 +246,14 @@
         self.start(queries);
     }
 
+    /// A sub-request for moved keys to the shard next to them, when another instance owns that shard and only
+    /// it knows the ranges.
+    fn ask_neighbour(&self, gap: KeyRange) -> Option<SubQuery> {
+        let shard = self.body.service.neighbour(gap)?;
+        let is_unknown = shard.owner().is_some() && reported_ranges(shard).is_empty();
+        is_unknown.then(|| self.sub_query(shard, gap, shard.replicas.clone()))
+    }
+
     /// Starts another round after a shard lacked the snapshot; `false` when there is nothing more to do.
     fn choose_again(&mut self) -> bool {
         if !self.lacks_snapshot || self.gather.is_complete() {
@@ -279,7 +294,8 @@
     }
 }
 
-/// The replicas of the plan, and those that it leaves out as ejected: they are the last resort of a retry.
+/// The replicas of the plan, and those that it leaves out as ejected: they are the last resort of a retry. Among
+/// them those that still cover the shard's keys go first.
 fn candidates(
     shard: &ShardRoute,
     plan: &ShardPlan,
@@ -288,12 +304,17 @@
     let is_candidate = |replica: &&Arc<UpstreamRoute>| {
         plan.replicas.contains(&replica.spec.id) || replica.may_hold(snapshot)
     };
-    shard
-        .replicas
-        .iter()
-        .filter(is_candidate)
-        .cloned()
-        .collect()
+    let covering = shard.covering(plan.range);
+    let found: Vec<_> = covering.iter().filter(is_candidate).cloned().collect();
+    match found.is_empty() {
+        true => shard
+            .replicas
+            .iter()
+            .filter(is_candidate)
+            .cloned()
+            .collect(),
+        false => found,
+    }
 }
 
 fn reported_ranges(shard: &ShardRoute) -> Vec<KeyRange> {
--- a/crates/anvilhubd/src/routes/service_route.rs
+++ b/crates/anvilhubd/src/routes/service_route.rs
@@ -64,6 +64,18 @@
             .filter(move |shard| !shard.range.intersect(range).is_empty())
     }
 
+    /// The shard next to the one that `gap` lies in, on the nearer side: a repartition moves a border.
+    pub(crate) fn neighbour(&self, gap: KeyRange) -> Option<&Arc<ShardRoute>> {
+        let mut shards = self.shards.iter();
+        let index = shards.position(|shard| shard.range.contains(gap.start))?;
+        let range = self.shards[index].range;
+        let is_upper = range.end.saturating_sub(gap.end) <= gap.start - range.start;
+        match is_upper {
+            true => self.shards.get(index + 1),
+            false => self.shards.get(index.checked_sub(1)?),
+        }
+    }
+
     pub(crate) fn upstreams(&self) -> impl Iterator<Item = &Arc<UpstreamRoute>> {
         self.shards.iter().flat_map(|shard| &shard.replicas)
     }
--- a/crates/anvilhubd/src/routes/shard_route.rs
+++ b/crates/anvilhubd/src/routes/shard_route.rs
@@ -101,6 +101,20 @@
         }
     }
 
+    /// The replicas that cover `range` as far as is known, and every one when none does: during a repartition
+    /// some have given keys away already.
+    pub(crate) fn covering(&self, range: KeyRange) -> Vec<Arc<UpstreamRoute>> {
+        let covers = |replica: &&Arc<UpstreamRoute>| {
+            let known = replica.reported_range();
+            known.is_none_or(|known| known.covers(range))
+        };
+        let covering: Vec<_> = self.replicas.iter().filter(covers).cloned().collect();
+        match covering.is_empty() {
+            true => self.replicas.clone(),
+            false => covering,
+        }
+    }
+
     /// Median latency of first attempts.
     pub(crate) fn usual_latency(&self) -> Option<Duration> {
         self.latencies.with(|latencies| latencies.quantile(0.5))
--- a/crates/anvilhubd/tests/owned_shards.rs
+++ b/crates/anvilhubd/tests/owned_shards.rs
@@ -3,7 +3,7 @@
 
 use serde_json::Value;
 
-use crate::fixture::{FakeUpstream, TestEntry, eventually, service, shard};
+use crate::fixture::{FakeReply, FakeUpstream, TestEntry, answer, eventually, service, shard};
 
 /// Requests right after an owner stops. Later on the other instances take over its shards.
 const REQUESTS: usize = 5;
@@ -46,6 +46,32 @@
     assert!(owned[1] > 0, "the case needs a shard of the other instance");
 }
 
+/// The instance that gathers does not know the ranges of upstreams that another one sends to.
+#[test]
+fn moved_keys_are_found_by_owners() {
+    let width = 1_u64 << 30;
+    let kept = width / 2;
+    let shrunk = FakeUpstream::start(move |call| {
+        let mut found = answer(call, 1);
+        found["end"] = kept.into();
+        FakeReply::Json(200, found)
+    });
+    shrunk.report(0, kept, &[1]);
+    let grown = FakeUpstream::sound();
+    grown.report(kept, 2 * width, &[1]);
+    let upstreams = [shrunk, grown, FakeUpstream::sound(), FakeUpstream::sound()];
+    let entries: [TestEntry; 2] = TestEntry::start_fleet(&four_shards(&upstreams));
+    eventually("the instances know each other", || {
+        owned(&entries[0], "entry-1") + owned(&entries[1], "entry-2") == 4
+    });
+
+    for entry in &entries {
+        eventually("the moved keys are found", || {
+            is_complete(&entry.search("r", "kerb", 5_000).1)
+        });
+    }
+}
+
 #[test]
 fn lost_owner_is_bypassed() {
     let upstreams = [(); 4].map(|()| FakeUpstream::sound());
