Route bookings by the same views, slots and admission as searches

Cause: found while reading: a ticketed request chose its replica at random, so an upstream that was leaving or ejected went on getting bookings, a demand peak of bookings was not admitted or queued, and lost answers did not count against the upstream. Change: the executor enters the service's gate and the shard's queue after the ticket has started (a refusal is recorded and final), picks by ReplicaPicker, and reports each try to the upstream's view.

--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -7,13 +7,12 @@
 use anvilhub_coord::configuration::{ExchangeMessage, PeerIdentity, PeerStage, SheetInput};
 use anvilhub_coord::ids::{Incarnation, InstanceId};
 use anvilhub_coord::membership::{MemberState, MemberTable};
-use anvilhub_coord::sheet::{CheckedSheet, ReplicaSpec, ShardSpec};
+use anvilhub_coord::sheet::CheckedSheet;
 use anvilhub_coord::ticket::{TicketIdentity, TicketLimits, TicketTable};
 use anvilhub_coord::time::{ClockTime, PauseDetector};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use log::warn;
 use metrics::counter;
-use rand::seq::SliceRandom;
 
 use crate::DaemonSettings;
 use crate::clock::DaemonClock;
@@ -193,14 +192,6 @@
             .resumed_at()
             .is_some_and(|resumed_at| resumed_at > time)
     }
-
-    /// Replicas of a shard in the order in which to try them: own failure domain first, then at random.
-    pub(crate) fn replicas_by_preference<'a>(&self, shard: &'a ShardSpec) -> Vec<&'a ReplicaSpec> {
-        let mut replicas: Vec<_> = shard.replicas.iter().collect();
-        replicas.shuffle(&mut rand::rng());
-        replicas.sort_by_key(|replica| replica.failure_domain != self.settings.failure_domain);
-        replicas
-    }
 }
 
 fn ticket_table(settings: &DaemonSettings, incarnation: Incarnation) -> TicketTable {
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -96,12 +96,10 @@
 
 fn query_body(request: &EntryRequest, service: &Arc<ServiceRoute>) -> QueryBody {
     let spec = &service.spec;
-    let claimed = request.query.urgency.unwrap_or(spec.urgency);
     QueryBody {
         request_id: request.query.request_id.clone(),
         service: Arc::clone(service),
-        // A caller cannot claim a higher urgency than its service has.
-        urgency: claimed.max(spec.urgency),
+        urgency: request.urgency(spec),
         idempotent: request.is_idempotent(spec),
         key: request.query.key,
         query: request.query.query.clone(),
--- a/crates/anvilhubd/src/filters/entry_request.rs
+++ b/crates/anvilhubd/src/filters/entry_request.rs
@@ -2,7 +2,7 @@
 
 use anvilhub_coord::border::query::QueryRequest;
 use anvilhub_coord::keyspace::KeyRange;
-use anvilhub_coord::sheet::{CheckedSheet, RepeatPolicy, ServiceSpec};
+use anvilhub_coord::sheet::{CheckedSheet, RepeatPolicy, ServiceSpec, UrgencyClass};
 use anvilhub_coord::time::ClockTime;
 
 use super::{RequestError, Result};
@@ -48,4 +48,13 @@
     pub(crate) fn is_idempotent(&self, service: &ServiceSpec) -> bool {
         self.query.idempotent && service.repeatability == RepeatPolicy::Idempotent
     }
+
+    /// Urgency of the request: what it claims, but at most the service's.
+    pub(crate) fn urgency(&self, service: &ServiceSpec) -> UrgencyClass {
+        // Classes are ordered from the most to the least urgent.
+        self.query
+            .urgency
+            .unwrap_or(service.urgency)
+            .max(service.urgency)
+    }
 }
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -1,20 +1,22 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anvilhub_coord::border::query::{CoverageEntry, QueryAnswer, QueryOutcome};
 use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
 use anvilhub_coord::ids::RequestId;
 use anvilhub_coord::keyspace::KeyRange;
-use anvilhub_coord::sheet::{RepeatPolicy, ReplicaSpec, ShardSpec};
+use anvilhub_coord::routing::{AttemptKind, PickError, ReplicaCandidate, ReplicaPicker};
+use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::ticket::{
     NotRunReason, RequestTicket, SendDecision, TicketOutcome, TicketRun, TryDecision, TryResult,
 };
+use anvilhub_coord::time::ClockTime;
 use log::{info, warn};
 use tokio::time::timeout;
 
 use crate::context::EntryContext;
 use crate::filters::EntryRequest;
 use crate::pool::{ConnectionLease, PoolError};
+use crate::routes::{ShardRoute, SlotRefusal, UpstreamRoute};
 
 /// Runs one ticketed request at one upstream.
 pub(crate) struct TicketExecutor {
@@ -25,43 +27,83 @@
 }
 
 impl TicketExecutor {
-    /// Tries replicas until one answers, a try leaves the effect open, or none is left.
+    /// Admits the request and tries replicas until one answers, a try leaves the effect open, or none is left.
     pub(crate) async fn execute(&self, run: &mut TicketRun) -> TicketOutcome {
-        let Ok(service) = self.request.service() else {
+        let routes = self.context.routes_of(&self.request.sheet);
+        let Some(service) = routes.services.get(&self.request.query.service) else {
             return TicketOutcome::NotRun(NotRunReason::NoUpstream);
         };
-        let range = KeyRange::single(self.key);
-        let Some(shard) = service.shards_in(range).next() else {
+        let Some(shard) = service.shards_in(KeyRange::single(self.key)).next() else {
             return TicketOutcome::NotRun(NotRunReason::NoUpstream);
         };
-        for replica in self.context.replicas_by_preference(shard) {
-            match self.try_replica(run, shard, replica).await {
-                Some(outcome) => return outcome,
-                None => continue,
+        let urgency = self.request.urgency(&service.spec);
+        let Ok(_permit) = service.gate.enter(urgency, run.deadline()).await else {
+            return TicketOutcome::NotRun(NotRunReason::Shed);
+        };
+        let _slot = match shard.queue.enter(urgency, run.deadline()).await {
+            Ok(slot) => slot,
+            Err(SlotRefusal::Full) => return TicketOutcome::NotRun(NotRunReason::Shed),
+            Err(SlotRefusal::Expired) => {
+                return TicketOutcome::NotRun(NotRunReason::DeadlinePassed);
+            }
+        };
+        self.try_replicas(run, shard).await
+    }
+
+    async fn try_replicas(&self, run: &mut TicketRun, shard: &ShardRoute) -> TicketOutcome {
+        let mut tried = vec![false; shard.replicas.len()];
+        loop {
+            let index = match self.choose(shard, &tried) {
+                Ok(index) => index,
+                Err(PickError::NoReplica | PickError::AllLeaving) => {
+                    return TicketOutcome::NotRun(NotRunReason::NoUpstream);
+                }
+                Err(PickError::AllTried | PickError::AllFull) => {
+                    return TicketOutcome::NotRun(NotRunReason::Refused);
+                }
+            };
+            tried[index] = true;
+            if let Some(outcome) = self.try_replica(run, shard, &shard.replicas[index]).await {
+                return outcome;
             }
         }
-        TicketOutcome::NotRun(NotRunReason::Refused)
+    }
+
+    /// The replica for the next try. A replica without a free connection is waited for.
+    fn choose(&self, shard: &ShardRoute, tried: &[bool]) -> Result<usize, PickError> {
+        let now = self.context.clock.now();
+        let domain = &self.context.settings.failure_domain;
+        let replicas = shard.replicas.iter().zip(tried);
+        let candidates: Vec<_> = replicas
+            .map(|(upstream, &tried)| ReplicaCandidate {
+                load: upstream.load(now),
+                same_domain: upstream.spec.failure_domain == *domain,
+                tried,
+                full: false,
+            })
+            .collect();
+        let further = tried.contains(&true).then_some(AttemptKind::Retry);
+        let choice = ReplicaPicker::default().pick(&candidates, further, &mut rand::rng())?;
+        Ok(choice.index)
     }
 
     /// Makes one try; `None` means that it provably did not run.
     async fn try_replica(
         &self,
         run: &mut TicketRun,
-        shard: &ShardSpec,
-        replica: &ReplicaSpec,
+        shard: &ShardRoute,
+        upstream: &UpstreamRoute,
     ) -> Option<TicketOutcome> {
         // The pool hands out a new connection or one with a recent proof of life. A silent one would leave the
         // effect unknown.
         let patience = self.context.settings.connect_timeout;
-        let lease = self
-            .context
-            .pool
-            .acquire(replica.address, RepeatPolicy::NonIdempotent, patience)
-            .await;
-        let lease = match lease {
+        let address = upstream.spec.address;
+        let pool = &self.context.pool;
+        let lease = pool.acquire(address, RepeatPolicy::NonIdempotent, patience);
+        let lease = match lease.await {
             Ok(lease) => lease,
             Err(error) => {
-                self.log_try(shard, replica, &error.to_string());
+                self.log_try(shard, upstream, &error.to_string());
                 return None;
             }
         };
@@ -69,30 +111,20 @@
         if self.context.was_paused_since(self.request.arrived) {
             return Some(TicketOutcome::NotRun(NotRunReason::Paused));
         }
-        if let SendDecision::Stop(outcome) = run.may_send(self.context.clock.now()) {
+        let sent = self.context.clock.now();
+        if let SendDecision::Stop(outcome) = run.may_send(sent) {
             return Some(outcome);
         }
-        let result = self.send(lease, run, replica.address).await;
-        let tried = match &result {
-            Ok(_) => TryResult::Answered,
-            Err(PoolError::Unconnected { .. } | PoolError::Unsent { .. }) => TryResult::NeverOpened,
-            Err(PoolError::Refused { .. }) => TryResult::Refused,
-            Err(_) => TryResult::Lost,
-        };
-        if let Err(error) = &result {
-            warn!(ticket:% = run.number(), upstream:% = replica.id; "ticketed request failed: {error}");
-        }
-        match run.after_try(tried) {
-            TryDecision::TryAgain => {
-                self.log_try(shard, replica, "proved not run");
-                None
-            }
+        upstream.state.with(|state| state.view.sent());
+        let result = self.send(lease, run, upstream).await;
+        self.note_result(upstream, sent, &result);
+        self.log_try(shard, upstream, &describe(&result));
+        match run.after_try(try_result(&result)) {
+            TryDecision::TryAgain => None,
             TryDecision::Stop(outcome) => Some(outcome),
             TryDecision::Finish => {
-                self.log_try(shard, replica, "answered");
-                result
-                    .ok()
-                    .map(|answer| TicketOutcome::Done(Arc::new(self.answer(answer))))
+                let answer = result.ok()?;
+                Some(TicketOutcome::Done(Arc::new(self.answer(answer))))
             }
         }
     }
@@ -101,8 +133,9 @@
         &self,
         lease: ConnectionLease,
         run: &TicketRun,
-        address: SocketAddr,
+        upstream: &UpstreamRoute,
     ) -> crate::pool::Result<SubAnswer> {
+        let address = upstream.spec.address;
         let range = KeyRange::single(self.key);
         let remaining = run.deadline().since(self.context.clock.now());
         let sub_request = SubRequest {
@@ -133,6 +166,25 @@
         }
     }
 
+    fn note_result(
+        &self,
+        upstream: &UpstreamRoute,
+        sent: ClockTime,
+        result: &crate::pool::Result<SubAnswer>,
+    ) {
+        let now = self.context.clock.now();
+        match result {
+            Ok(answer) => upstream.answered(now, sent, answer),
+            Err(PoolError::Refused { refusal }) => upstream.refused(now, refusal),
+            Err(PoolError::Unsent { .. }) => upstream.state.with(|state| state.view.unsent()),
+            Err(error) => {
+                warn!(ticket:% = self.ticket.number, upstream:% = upstream.spec.id; "ticketed request failed: {error}");
+                let waited = now.since(sent);
+                upstream.state.with(|state| state.view.failed(waited));
+            }
+        }
+    }
+
     /// The ticket's identity, which no other request has: upstreams can count effects by it.
     fn sub_request_id(&self) -> RequestId {
         let owner = &self.ticket.owner;
@@ -165,10 +217,26 @@
         }
     }
 
-    fn log_try(&self, shard: &ShardSpec, replica: &ReplicaSpec, reason: &str) {
+    fn log_try(&self, shard: &ShardRoute, upstream: &UpstreamRoute, result: &str) {
         info!(
             request_id:% = self.request.query.request_id, ticket:% = self.ticket.number,
-            shard:% = shard.name, upstream:% = replica.id, reason; "ticketed request routed"
+            shard:% = shard.name, upstream:% = upstream.spec.id, result; "ticketed request routed"
         );
     }
 }
+
+fn try_result(result: &crate::pool::Result<SubAnswer>) -> TryResult {
+    match result {
+        Ok(_) => TryResult::Answered,
+        Err(PoolError::Unconnected { .. } | PoolError::Unsent { .. }) => TryResult::NeverOpened,
+        Err(PoolError::Refused { .. }) => TryResult::Refused,
+        Err(_) => TryResult::Lost,
+    }
+}
+
+fn describe(result: &crate::pool::Result<SubAnswer>) -> String {
+    match result {
+        Ok(_) => "answered".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
