Answer batches in time, and say what did not run

Cause: an owner answered a batch at the deadline of its late shard, so the answers of its other shards could miss the caller's. The answer did not say whether an attempt had started, so a request that every upstream refused was `unknown` when an owner sent it.

A missing outcome says whether it provably did not run. What is sent directly after a batch counts as possibly run by the owner.

Ruled out: an answer for each shard on its own; a call costs the same with one item as with many.

--- a/crates/anvilhubd/src/fanout/batch_call.rs
+++ b/crates/anvilhubd/src/fanout/batch_call.rs
@@ -34,7 +34,7 @@
     /// Waits for the owner, and bypasses it when it does not answer.
     pub(super) async fn run(self) -> Vec<PieceEnd> {
         let Some(mut call) = self.start() else {
-            return self.end_all(MissingReason::Timeout);
+            return self.end_all(MissingReason::Timeout, true);
         };
         tokio::select! {
             end = &mut call => return self.ended(end).await,
@@ -142,7 +142,7 @@
                 // The owner's answers are lost for certain, so these sub-requests are needed.
                 self.run_direct(self.queries.clone()).await
             }
-            Err(_) => self.end_all(MissingReason::Timeout),
+            Err(_) => self.end_all(MissingReason::Timeout, false),
         }
     }
 
@@ -163,7 +163,7 @@
                 .collect(),
             Ok(Err(_)) => self.run_direct(unpaid).await,
             Err(_) => self
-                .end_all(MissingReason::Timeout)
+                .end_all(MissingReason::Timeout, false)
                 .into_iter()
                 .filter(is_unpaid)
                 .collect(),
@@ -173,7 +173,11 @@
     async fn run_direct(&self, queries: Vec<SubQuery>) -> Vec<PieceEnd> {
         let runs = queries.into_iter().map(|query| async {
             let (id, shard) = (query.id.clone(), Arc::clone(&query.shard));
-            let outcome = SubRun::new(Arc::clone(&self.context), query).run().await;
+            let mut outcome = SubRun::new(Arc::clone(&self.context), query).run().await;
+            // The owner got the sub-request before, and may have run it.
+            if outcome.outcome == AttemptOutcome::NotRun {
+                outcome.outcome = AttemptOutcome::Unknown;
+            }
             PieceEnd { id, shard, outcome }
         });
         join_all(runs).await
@@ -181,25 +185,23 @@
 
     fn answered(&self, answer: BatchAnswer) -> Vec<PieceEnd> {
         if answer.outcomes.len() != self.queries.len() {
-            return self.end_all(MissingReason::BadAnswer);
+            return self.end_all(MissingReason::BadAnswer, false);
         }
         let ends = self.queries.iter().zip(answer.outcomes);
         ends.map(|(query, outcome)| piece_end(query, outcome))
             .collect()
     }
 
-    fn end_all(&self, reason: MissingReason) -> Vec<PieceEnd> {
-        let held = Vec::new();
-        let missing = |query| {
-            piece_end(
-                query,
-                BatchOutcome::Missing {
-                    reason,
-                    held: held.clone(),
-                },
-            )
+    fn end_all(&self, reason: MissingReason, not_run: bool) -> Vec<PieceEnd> {
+        let missing = BatchOutcome::Missing {
+            reason,
+            held: Vec::new(),
+            not_run,
         };
-        self.queries.iter().map(missing).collect()
+        let queries = self.queries.iter();
+        queries
+            .map(|query| piece_end(query, missing.clone()))
+            .collect()
     }
 
     fn note_bypass(&self, reason: &str) {
@@ -219,8 +221,17 @@
             let held = answer.held.clone();
             (Ok(answer), held, AttemptOutcome::Done)
         }
-        // The owner does not say whether an attempt started.
-        BatchOutcome::Missing { reason, held } => (Err(reason), held, AttemptOutcome::Unknown),
+        BatchOutcome::Missing {
+            reason,
+            held,
+            not_run,
+        } => {
+            let outcome = match not_run {
+                true => AttemptOutcome::NotRun,
+                false => AttemptOutcome::Unknown,
+            };
+            (Err(reason), held, outcome)
+        }
     };
     let replicas = query.shard.replicas.iter();
     let stated = match held.is_empty() {
--- a/crates/anvilhubd/src/fanout/batch_run.rs
+++ b/crates/anvilhubd/src/fanout/batch_run.rs
@@ -3,12 +3,13 @@
 
 use anvilhub_coord::gather::MissingReason;
 use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::routing::AttemptOutcome;
 use futures_util::future::join_all;
 
 use crate::context::EntryContext;
 use crate::peer::{BatchAnswer, BatchItem, BatchMessage, BatchOutcome};
 
-use super::{QueryBody, SubQuery, SubRun};
+use super::{QueryBody, SubQuery, SubRun, batch_time};
 
 /// Runs sub-requests that another instance sent because this one owns their shards.
 ///
@@ -24,6 +25,7 @@
         return BatchOutcome::Missing {
             reason: MissingReason::NoReplica,
             held: Vec::new(),
+            not_run: true,
         };
     };
     let outcome = SubRun::new(Arc::clone(context), query).run().await;
@@ -36,6 +38,7 @@
                 .into_iter()
                 .flat_map(|(_, held)| held)
                 .collect(),
+            not_run: outcome.outcome == AttemptOutcome::NotRun,
         },
     }
 }
@@ -52,7 +55,7 @@
         idempotent: item.request.idempotent,
         key: item.request.key,
         query: item.request.query,
-        deadline: context.clock.now() + left,
+        deadline: batch_time(context.clock.now(), left),
         service,
     };
     let range = KeyRange::new(item.request.start, item.request.end);
--- a/crates/anvilhubd/src/fanout/mod.rs
+++ b/crates/anvilhubd/src/fanout/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use sub_request_ids::SubRequestIds;
 
 use batch_call::BatchCall;
-use hop_cost::{after_hop, answer_time};
+use hop_cost::{after_hop, answer_time, batch_time};
 use piece_end::PieceEnd;
 use request_run::{GatheredRequest, RequestRun};
 use sub_attempt::{AttemptEnd, SubAttempt};
--- a/crates/anvilhubd/src/peer/batch_message.rs
+++ b/crates/anvilhubd/src/peer/batch_message.rs
@@ -35,5 +35,8 @@
         reason: MissingReason,
         /// Snapshots that the upstream holds, when it refused for the lack of one.
         held: Vec<SnapshotId>,
+        /// Whether no attempt can have started. Owners of an older version do not say so.
+        #[serde(default)]
+        not_run: bool,
     },
 }
--- a/crates/anvilhubd/tests/owned_shards.rs
+++ b/crates/anvilhubd/tests/owned_shards.rs
@@ -3,7 +3,9 @@
 
 use serde_json::Value;
 
-use crate::fixture::{FakeReply, FakeUpstream, TestEntry, answer, eventually, service, shard};
+use crate::fixture::{
+    FakeReply, FakeUpstream, TestEntry, answer, eventually, refusal, service, shard,
+};
 
 /// Requests right after an owner stops. Later on the other instances take over its shards.
 const REQUESTS: usize = 5;
@@ -72,6 +74,41 @@
     }
 }
 
+/// The answers of the other shards must not be lost with the late one of their owner.
+#[test]
+fn late_shard_of_owner_is_named() {
+    let mut upstreams = [(); 4].map(|()| FakeUpstream::sound());
+    upstreams[2] = FakeUpstream::start(|_| FakeReply::Silent);
+    let entries: [TestEntry; 2] = TestEntry::start_fleet(&four_shards(&upstreams));
+    eventually("the instances know each other", || {
+        owned(&entries[0], "entry-1") + owned(&entries[1], "entry-2") == 4
+    });
+
+    for entry in &entries {
+        let (_, found) = entry.search("r", "kerb", 1_000);
+        assert_eq!(found["coverage"]["fraction"], 0.75, "{found}");
+        assert_eq!(found["coverage"]["missing"][0]["reason"], "timeout");
+    }
+}
+
+/// What no upstream ran may be sent again, so its owner has to say so.
+#[test]
+fn refused_batches_are_not_run() {
+    let upstreams = [(); 4].map(|()| FakeUpstream::start(|call| refusal(call, "shed", &[1])));
+    let entries: [TestEntry; 2] = TestEntry::start_fleet(&four_shards(&upstreams));
+    eventually("the instances know each other", || {
+        owned(&entries[0], "entry-1") + owned(&entries[1], "entry-2") == 4
+    });
+
+    let (status, found) = entries[0].search("r", "kerb", 5_000);
+
+    assert_eq!(
+        (status, &found["outcome"]),
+        (503, &"not_run".into()),
+        "{found}"
+    );
+}
+
 #[test]
 fn lost_owner_is_bypassed() {
     let upstreams = [(); 4].map(|()| FakeUpstream::sound());
