Trust answers over lagging load reports

Ruled out: ignoring the reports, which are all that is known of an upstream before its first answer.

Result: snapshot_choice::lagging_report_is_outweighed fails without the change and passes with it.

--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -279,6 +279,7 @@
         let Some(plan) = self.chooser.choose_again() else {
             return;
         };
+        self.outcomes.push(AttemptOutcome::Unknown);
         // Dropping the sub-requests cancels them; `pin` gives up on their answers.
         self.running = FuturesUnordered::new();
         self.start_round(&plan, "another snapshot covers more");
--- a/crates/anvilhubd/src/routes/upstream_route.rs
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvilhub_coord::border::upstream::{
     LoadReport as LoadDocument, RefusalReason, SubAnswer, SubRefusal,
@@ -11,12 +12,17 @@
 
 use super::RouteCell;
 
+/// Age up to which an answer's statement of the held snapshots outweighs a load report, which may lag.
+const STATEMENT_AGE: Duration = Duration::from_secs(2);
+
 /// What this instance knows about an upstream.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamState {
     pub(crate) view: UpstreamView,
     /// Snapshots of its latest statement.
     pub(crate) held: Option<Vec<SnapshotId>>,
+    /// When an answer or a refusal last stated what it holds.
+    pub(crate) stated: Option<ClockTime>,
     /// Keys of its latest load report.
     pub(crate) range: Option<KeyRange>,
     /// When its load was last asked for.
@@ -94,6 +100,7 @@
         self.state.with(|state| {
             state.view.answered(now, now.since(sent), load);
             state.held = Some(answer.held.clone());
+            state.stated = Some(now);
         });
     }
 
@@ -109,6 +116,7 @@
             state.view.refused(now, load);
             if states_held(refusal) {
                 state.held = Some(refusal.held.clone());
+                state.stated = Some(now);
             }
             if refusal.reason == RefusalReason::Cold && !state.view.is_ejected(now) {
                 state.view.eject(now);
@@ -129,7 +137,12 @@
                 state.gone = false;
             }
             state.view.reported(now, load);
-            state.held = Some(report.held.clone());
+            if state
+                .stated
+                .is_none_or(|stated| now.since(stated) >= STATEMENT_AGE)
+            {
+                state.held = Some(report.held.clone());
+            }
             state.range = Some(KeyRange::new(report.start, report.end));
         });
     }
--- a/crates/anvilhubd/tests/snapshot_choice.rs
+++ b/crates/anvilhubd/tests/snapshot_choice.rs
@@ -52,6 +52,31 @@
     );
 }
 
+/// A lagging report must not bring back a snapshot that the upstream dropped.
+#[test]
+fn lagging_report_is_outweighed() {
+    let upstream = holder(&[2]);
+    upstream.report(0, 1 << 32, &[1]);
+    let entry = TestEntry::start(&service(1, "direct", vec![shard(0, 1, &[&upstream])]));
+    eventually("the first load report is read", || {
+        entry.get("/state").1["upstreams"][0]["held"] == serde_json::json!([1])
+    });
+
+    eventually("several reports are read meanwhile", || {
+        let (_, found) = entry.search("r", "kerb", 2_000);
+        assert_eq!(found["coverage"]["complete"], true, "{found}");
+        upstream.calls("/load").len() >= 3
+    });
+
+    let refused = upstream.calls("/query");
+    let refused = refused.iter().filter(|call| call.body["snapshot"] == 1);
+    assert_eq!(
+        refused.count(),
+        1,
+        "only the first request believes the report"
+    );
+}
+
 /// The upper half of the first shard moved to the second shard's upstream.
 #[test]
 fn moved_keys_are_found() {
