Stop lost entries of the load tool from sending

Cause: entries of a lost failure domain went on sending hedges and retries, which showed as 6.6% extra load of the counter desk in its worst second. Ruled out: the saved token of RetryBudget, which was suspected first; the load by step showed 106 hedges within 250 ms of the loss, sent by the lost owner.

--- a/crates/anvilhub-dev/src/bench/driver/attempts.rs
+++ b/crates/anvilhub-dev/src/bench/driver/attempts.rs
@@ -125,7 +125,8 @@
 
     pub(super) fn time_out(&mut self, id: AttemptId) {
         let attempt = *self.attempt_mut(id);
-        if attempt.state != AttemptState::InFlight {
+        let lost = self.is_lost(self.entries[attempt.handler].domain);
+        if lost || attempt.state != AttemptState::InFlight {
             return;
         }
         self.attempt_mut(id).state = AttemptState::TimedOut;
@@ -175,8 +176,9 @@
         let (query, shard, _) = id;
         let attempt = *self.attempt_mut(id);
         let handler = attempt.handler;
+        let lost = self.is_lost(self.entries[handler].domain);
         let in_flight = attempt.state == AttemptState::InFlight;
-        if !in_flight || !self.may_attempt(query, shard, AttemptKind::Hedge) {
+        if lost || !in_flight || !self.may_attempt(query, shard, AttemptKind::Hedge) {
             return;
         }
         let kind = Some(AttemptKind::Hedge);
--- a/crates/anvilhub-dev/src/bench/driver/queries.rs
+++ b/crates/anvilhub-dev/src/bench/driver/queries.rs
@@ -110,6 +110,9 @@
 
     pub(super) fn bypass(&mut self, query: usize, shard: usize, owner: usize) {
         let entry = self.queries[query].arrival.entry;
+        if self.is_lost(self.entries[entry].domain) {
+            return;
+        }
         let resolved = self.queries[query].ended || self.queries[query].subs[shard].resolved;
         let health = &mut self.entries[entry].owners[owner];
         if resolved || !health.is_bypassed(self.now) {
