Add failure runs of resends, a returning platform and a paused peer

Cause: a trial with the mutation switches showed that no process run noticed a running ticket that a resend starts again, an older sheet that is accepted, or an instance that skips learning.

Change: `resent_request` resends a booking while frozen replicas hold its first copy. `config_stale` replaces the platform by one that counts revisions anew and has the older sheet, and waits until both entries have read it. `peer_paused` starts an instance while the only peer that knows the newer sheet is silent.

Ruled out: a pinned older revision for the first of the two sheets. A waiting watch shows it only after its whole wait.

--- a/crates/anvilhub-dev/tests/matrix/at_most_once.rs
+++ b/crates/anvilhub-dev/tests/matrix/at_most_once.rs
@@ -158,6 +158,44 @@
     Ok(())
 }
 
+#[test]
+fn resent_request() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    let replicas = |action: &str| {
+        tier.upstreams
+            .command(json!({ "service": "dispatch", "do": [{ "action": action }] }))
+    };
+    let call = booking(&tier, 0)?;
+    let idle = in_flight(&tier)?;
+
+    // Frozen replicas hold the booking until its resends have arrived too.
+    replicas("freeze")?;
+    let mut calls = vec![send_aside(&call, address(&tier, 0))];
+    wait_until("the booking", || {
+        (in_flight(&tier).ok()? > idle).then_some(())
+    })?;
+    let running = in_flight(&tier)?;
+    calls.push(send_aside(&call, address(&tier, 0)));
+    wait_until("the resend", || {
+        (in_flight(&tier).ok()? > running).then_some(())
+    })?;
+    replicas("thaw")?;
+    calls.push(send_aside(&call, address(&tier, 1)));
+
+    for call in calls {
+        let (_, answer) = call.join().expect("the call ends")?;
+        assert_eq!(answer.outcome, QueryOutcome::Done);
+    }
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
+    Ok(())
+}
+
+/// Requests that the first entry works on.
+fn in_flight(tier: &TestTier) -> Result<u64> {
+    let state = tier.entries[0].state()?;
+    Ok(state["requests_in_flight"].as_u64().unwrap_or_default())
+}
+
 #[test]
 fn owner_paused() -> Result<()> {
     let tier = start_tier(json!({}))?;
--- a/crates/anvilhub-dev/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-dev/tests/matrix/config_in_force.rs
@@ -1,5 +1,8 @@
 //! Guards against an instance that serves an older sheet than one that was in force, or none.
 
+use std::thread;
+use std::time::Duration;
+
 use anvilhub_coord::ids::PlatformRevision;
 use anvilhub_dev::process::{EntryProcess, ProcessSignal, TestTier, wait_until};
 use anvilhub_dev::standin::platform::{DownMode, PlatformCommand};
@@ -8,6 +11,13 @@
 
 use super::answer_check::{is_complete, search, start_tier};
 
+/// Looks at an instance that must not become ready, and the pause between them. Correct code stays unready for
+/// as long as it takes, so their number decides nothing for it.
+const LOOKS: usize = 50;
+const LOOK_PAUSE: Duration = Duration::from_millis(40);
+/// Calls after the return of the platform: two entries read the sheet and the list, and watch both.
+const READS_AFTER_RETURN: u64 = 8;
+
 fn wait_version(entry: &EntryProcess, version: u64) -> Result<()> {
     wait_until("the new sheet in force", || {
         (entry.sheet_version() == Some(version)).then_some(())
@@ -44,9 +54,16 @@
 #[test]
 fn config_stale() -> Result<()> {
     let mut tier = start_tier(json!({}))?;
+    let first_sheet = serde_json::to_string(&tier.sheet)?;
     let version = publish_everywhere(&mut tier)?;
-    serve_first_sheet(&tier)?;
 
+    // The platform comes back from a copy that is older than the sheet in force.
+    tier.platform.restart(&tier.scratch, &first_sheet)?;
+    wait_until("both entries read the platform again", || {
+        let calls = tier.platform.admitted_calls().ok()?;
+        (calls >= READS_AFTER_RETURN).then_some(())
+    })?;
+    assert_eq!(tier.entries[0].sheet_version(), Some(version));
     restart_second(&mut tier)?;
 
     assert_eq!(tier.entries[1].sheet_version(), Some(version));
@@ -54,6 +71,30 @@
     Ok(())
 }
 
+#[test]
+fn peer_paused() -> Result<()> {
+    let mut tier = start_tier(json!({}))?;
+    let version = publish_everywhere(&mut tier)?;
+    serve_first_sheet(&tier)?;
+
+    // The only peer that knows the newer sheet is listed and silent, and the platform offers an older one.
+    tier.entries[1].child.kill()?;
+    tier.entries[0].child.pause()?;
+    let mut entry = tier.entries[1]
+        .plan
+        .start(&tier.scratch, tier.platform.address)?;
+    for _ in 0..LOOKS {
+        assert!(!entry.is_ready(), "ready without its peer's word");
+        assert_ne!(entry.sheet_version(), Some(1), "an older sheet came back");
+        thread::sleep(LOOK_PAUSE);
+    }
+    tier.entries[0].child.signal(ProcessSignal::Continue)?;
+    entry.wait_ready()?;
+
+    assert_eq!(entry.sheet_version(), Some(version));
+    Ok(())
+}
+
 #[test]
 fn config_down() -> Result<()> {
     let mut tier = start_tier(json!({}))?;
