Add failure runs of shared and expired tickets

Cause: with the switches `ticket_shared`, `expired_runs` and `resend_runs` the process runs stayed green; the resend came before the first copy was running, or after it.

Change: `resent_request` freezes the replicas only after the booking has arrived, and counts sub-requests besides effects. `shared_ticket` sends another booking with a used ticket, `expired_ticket` a booking after its ticket's life.

Ruled out: a count of effects alone for the resend. The second run could take effect after the test has looked.

--- a/crates/anvilhub-dev/tests/matrix/at_most_once.rs
+++ b/crates/anvilhub-dev/tests/matrix/at_most_once.rs
@@ -161,35 +161,73 @@
 #[test]
 fn resent_request() -> Result<()> {
     let tier = start_tier(json!({}))?;
-    let replicas = |action: &str| {
-        tier.upstreams
-            .command(json!({ "service": "dispatch", "do": [{ "action": action }] }))
-    };
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "set": { "service_us": 2_000_000 } }))?;
     let call = booking(&tier, 0)?;
-    let idle = in_flight(&tier)?;
-
-    // Frozen replicas hold the booking until its resends have arrived too.
-    replicas("freeze")?;
     let mut calls = vec![send_aside(&call, address(&tier, 0))];
-    wait_until("the booking", || {
-        (in_flight(&tier).ok()? > idle).then_some(())
-    })?;
+    wait_until("the booking", || (received(&tier).ok()? == 1).then_some(()))?;
+
+    // Frozen replicas hold the booking until its resend has arrived.
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "do": [{ "action": "freeze" }] }))?;
     let running = in_flight(&tier)?;
     calls.push(send_aside(&call, address(&tier, 0)));
     wait_until("the resend", || {
         (in_flight(&tier).ok()? > running).then_some(())
     })?;
-    replicas("thaw")?;
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "do": [{ "action": "thaw" }] }))?;
     calls.push(send_aside(&call, address(&tier, 1)));
 
     for call in calls {
         let (_, answer) = call.join().expect("the call ends")?;
         assert_eq!(answer.outcome, QueryOutcome::Done);
     }
+    assert_eq!(received(&tier)?, 1, "a resend was sent to an upstream");
     assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
     Ok(())
 }
 
+#[test]
+fn shared_ticket() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    let call = booking(&tier, 0)?;
+    let mut other = call.clone();
+    other.request.query = "another booking".to_owned();
+
+    let (_, first) = call.send(address(&tier, 0))?;
+    for entry in [0, 1] {
+        let (_, answer) = other.send(address(&tier, entry))?;
+        assert_ne!(answer.outcome, QueryOutcome::Done, "{answer:?}");
+    }
+
+    assert_eq!(first.outcome, QueryOutcome::Done);
+    assert_eq!(tier.upstreams.effects_of("another booking")?, 0);
+    Ok(())
+}
+
+#[test]
+fn expired_ticket() -> Result<()> {
+    let lifetime_ms = 200;
+    let tier = start_tier(json!({ "ticket_lifetime_ms": lifetime_ms }))?;
+    let call = booking(&tier, 0)?;
+    thread::sleep(Duration::from_millis(2 * lifetime_ms));
+
+    for entry in [0, 1] {
+        let (_, answer) = call.send(address(&tier, entry))?;
+        assert_ne!(answer.outcome, QueryOutcome::Done, "{answer:?}");
+    }
+
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 0);
+    Ok(())
+}
+
+/// Sub-requests that arrived at any upstream.
+fn received(tier: &TestTier) -> Result<u64> {
+    let counts = tier.upstreams.counts()?;
+    Ok(counts.values().map(|counts| counts.received).sum())
+}
+
 /// Requests that the first entry works on.
 fn in_flight(tier: &TestTier) -> Result<u64> {
     let state = tier.entries[0].state()?;
