Compare divisions by identity, forget owners that are gone

Cause: the upstream controller remembered a division by its address alone. A later one at the same address would have gone unnoticed, and shards would have kept their old owners. The health of owners was kept for ever.

Change: the controller keeps the division that it compares with, and forgets the health of instances that take no work.

Ruled out: comparing contents on every round, which costs more with the size of the fleet.

--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -19,7 +19,7 @@
 use crate::context::EntryContext;
 use crate::pool::{LinkPlan, PoolError};
 use crate::routes::leaving_news;
-use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
+use crate::routes::{EntryDivision, RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
 use super::controller_thread;
 
@@ -45,7 +45,7 @@
     runtime: Handle,
     polls: Arc<Semaphore>,
     /// Division, instance list and sheet that the routes follow.
-    divided: Option<(usize, Option<PlatformRevision>, SheetDigest)>,
+    divided: Option<(Arc<EntryDivision>, Option<PlatformRevision>, SheetDigest)>,
 }
 
 impl UpstreamController {
@@ -104,11 +104,14 @@
         let list = self.context.instances.load_full();
         let division = self.context.division.load_full();
         let revision = list.as_ref().map(|list| list.revision);
-        let state = Some((Arc::as_ptr(&division) as usize, revision, routes.digest));
-        if self.divided == state {
+        let is_same = self.divided.as_ref().is_some_and(|(known, list, sheet)| {
+            Arc::ptr_eq(known, &division) && *list == revision && *sheet == routes.digest
+        });
+        if is_same {
             return;
         }
-        self.divided = state;
+        self.divided = Some((Arc::clone(&division), revision, routes.digest));
+        self.context.owners.retain(|owner| division.has_peer(owner));
         if let Some(list) = list {
             leaving_news::follow_list(routes, &list, self.context.clock.now());
         }
--- a/crates/anvilhubd/src/fanout/owner_table.rs
+++ b/crates/anvilhubd/src/fanout/owner_table.rs
@@ -32,6 +32,12 @@
             .with(|owners| update(&mut owners.entry(owner).or_default().health));
     }
 
+    /// Forgets instances that take no work any more.
+    pub(crate) fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.owners
+            .with(|owners| owners.retain(|&owner, _| keep(owner)));
+    }
+
     /// Says whether to ping the owner now: one ping is under way at a time.
     pub(crate) fn begin_ping(&self, owner: SocketAddr) -> bool {
         self.owners.with(|owners| {
--- a/crates/anvilhubd/src/routes/entry_division.rs
+++ b/crates/anvilhubd/src/routes/entry_division.rs
@@ -63,6 +63,11 @@
         self.addresses.get(owner).copied()
     }
 
+    /// Says whether an instance that takes work has the peer address.
+    pub(crate) fn has_peer(&self, address: SocketAddr) -> bool {
+        self.addresses.values().any(|peer| *peer == address)
+    }
+
     /// Says whether `other` divides among the same instances in the same way.
     pub(crate) fn is_same(&self, other: &Self) -> bool {
         self.basis == other.basis && self.addresses == other.addresses
