Ask a bounded sample at a start in a large fleet

Cause: a starting instance waited until every listed peer had answered or was absent.

Change: above 32 listed peers (SMALL_FLEET) an instance asks the peers of StartSample in batches of 21, ranked by rendezvous hashing for its own name. Three ready answers are enough, whoever stays silent. While fewer are ready, the next batch is asked, to the end of the list; then at most a 32nd of the peers may be silent, or the instance waits with the new alarm FleetSilent. Small fleets keep the former rule. A resumed instance in a large fleet asks in the ranked order too, so that a mass pause does not fall on the peers with the lowest names.

Tests: start_sample, the script large_fleet, and the search sampled_start.

Conclusion: a start costs 21 exchanges, does not wait for silent peers, and takes the platform's value only after the whole list was asked.

--- a/crates/anvilhub-coord/src/configuration/acceptor_settings.rs
+++ b/crates/anvilhub-coord/src/configuration/acceptor_settings.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::membership::SampleRule;
+
 /// Times that the acceptance of sheets depends on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AcceptorSettings {
@@ -11,6 +13,8 @@
     pub query_interval: Duration,
     /// Time after which an instance starts without the listed peers that stay silent. None: it waits.
     pub isolated_start_after: Option<Duration>,
+    /// How many peers are asked at a start.
+    pub sample: SampleRule,
 }
 
 impl Default for AcceptorSettings {
@@ -20,6 +24,7 @@
             fetch_timeout: Duration::from_millis(1_000),
             query_interval: Duration::from_millis(500),
             isolated_start_after: None,
+            sample: SampleRule::default(),
         }
     }
 }
--- a/crates/anvilhub-coord/src/configuration/peer_ledger.rs
+++ b/crates/anvilhub-coord/src/configuration/peer_ledger.rs
@@ -2,11 +2,12 @@
 use std::time::Duration;
 
 use crate::ids::InstanceId;
+use crate::membership::{SampleAnswer, SampleVerdict, StartSample};
 use crate::sheet::SheetStamp;
 use crate::time::ClockTime;
 
+use super::ExchangeMessage;
 use super::peer_report::{PeerContact, PeerReport};
-use super::{ExchangeMessage, PeerStage};
 
 /// How long a peer that is not listed is remembered. Longer than a list usually lags behind a new instance.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(60);
@@ -16,6 +17,10 @@
 pub(crate) struct PeerLedger {
     /// None until a list is known.
     listed: Option<BTreeSet<InstanceId>>,
+    /// Peers to ask in a large fleet; none in a small one, where every listed peer is asked.
+    sample: Option<StartSample>,
+    /// Queries made in a large fleet.
+    turn: usize,
     reports: BTreeMap<InstanceId, PeerReport>,
 }
 
@@ -24,11 +29,18 @@
         self.listed.is_some()
     }
 
-    pub(crate) fn set_listed(&mut self, listed: BTreeSet<InstanceId>, now: ClockTime) {
+    /// Takes the listed peers, and in a large fleet the sample of them to ask.
+    pub(crate) fn set_listed(
+        &mut self,
+        listed: BTreeSet<InstanceId>,
+        sample: Option<StartSample>,
+        now: ClockTime,
+    ) {
         self.reports.retain(|id, report| {
             listed.contains(id) || now.since(report.heard_at) < UNLISTED_RETENTION
         });
         self.listed = Some(listed);
+        self.sample = sample;
     }
 
     /// Records a message; `is_answer` when it answers an exchange sent since the start or the last pause.
@@ -79,8 +91,42 @@
         }
     }
 
-    /// Listed peers that have neither answered nor are absent, silent ones last.
-    pub(crate) fn unresolved(&self) -> Vec<InstanceId> {
+    /// Peers to ask next, silent ones last: all listed ones that have neither answered nor are absent, or in a
+    /// large fleet those that the sample lacks.
+    pub(crate) fn to_ask(&self) -> Vec<InstanceId> {
+        match self.judge_sample() {
+            Some(SampleVerdict::Ask(peers)) => peers,
+            Some(SampleVerdict::Enough) => Vec::new(),
+            None => self.unresolved(),
+        }
+    }
+
+    /// Notes that peers were asked.
+    pub(crate) fn count_query(&mut self) {
+        if self.sample.is_some() {
+            self.turn = self.turn.wrapping_add(1);
+        }
+    }
+
+    fn judge_sample(&self) -> Option<SampleVerdict> {
+        let sample = self.sample.as_ref()?;
+        Some(sample.judge(self.turn, |id| self.answer_of(id)))
+    }
+
+    fn answer_of(&self, id: &InstanceId) -> SampleAnswer {
+        let Some(report) = self.reports.get(id) else {
+            return SampleAnswer::Open;
+        };
+        match report.contact {
+            PeerContact::Unknown => SampleAnswer::Open,
+            PeerContact::Silent => SampleAnswer::Silent,
+            PeerContact::Absent => SampleAnswer::Absent,
+            PeerContact::Answered if report.is_ready() => SampleAnswer::Ready,
+            PeerContact::Answered => SampleAnswer::Unsure,
+        }
+    }
+
+    fn unresolved(&self) -> Vec<InstanceId> {
         let listed = self.listed.iter().flatten();
         let mut unresolved: Vec<InstanceId> = listed
             .filter(|id| !self.contact(id).is_resolved())
@@ -90,24 +136,36 @@
         unresolved
     }
 
-    /// Listed peers whose last exchange timed out.
+    /// Listed peers whose last exchange timed out and that are waited for one by one, as in a small fleet.
     pub(crate) fn silent(&self) -> impl Iterator<Item = &InstanceId> {
         let listed = self.listed.iter().flatten();
-        listed.filter(|id| self.contact(id) == PeerContact::Silent)
+        listed.filter(|id| self.sample.is_none() && self.contact(id) == PeerContact::Silent)
+    }
+
+    /// Says whether a large fleet was asked as a whole, and too few answered.
+    pub(crate) fn is_fleet_silent(&self) -> bool {
+        let is_silent = |peers: Vec<InstanceId>| {
+            !peers.is_empty()
+                && peers
+                    .iter()
+                    .all(|id| self.contact(id) == PeerContact::Silent)
+        };
+        match self.judge_sample() {
+            Some(SampleVerdict::Ask(peers)) => is_silent(peers),
+            _ => false,
+        }
     }
 
-    /// Says whether a list is known and every peer on it has answered or is absent.
+    /// Says whether a list is known and nobody has to be asked any more.
     pub(crate) fn is_resolved(&self) -> bool {
-        self.has_list() && self.unresolved().is_empty()
+        self.has_list() && self.to_ask().is_empty()
     }
 
     /// Says whether a peer that is sure of its sheet has answered.
     pub(crate) fn has_ready_answer(&self) -> bool {
-        self.reports.values().any(|report| {
-            report.contact == PeerContact::Answered
-                && report.accepted.is_some()
-                && matches!(report.stage, Some(PeerStage::Ready | PeerStage::Draining))
-        })
+        self.reports
+            .values()
+            .any(|report| report.contact == PeerContact::Answered && report.is_ready())
     }
 
     /// The sheet that takes precedence among those that peers have in force, and who supplies it.
--- a/crates/anvilhub-coord/src/configuration/peer_report.rs
+++ b/crates/anvilhub-coord/src/configuration/peer_report.rs
@@ -15,6 +15,14 @@
     pub(crate) failed_fetches: u32,
 }
 
+impl PeerReport {
+    /// Says whether the peer is sure of its sheet.
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_sure = matches!(self.stage, Some(PeerStage::Ready | PeerStage::Draining));
+        is_sure && self.accepted.is_some()
+    }
+}
+
 /// Whether a peer has answered since the instance started or resumed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum PeerContact {
--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use crate::ids::{InstanceId, PlatformRevision, SheetDigest, UpstreamId};
+use crate::membership::StartSample;
 use crate::mutation;
 use crate::sheet::{AcceptedSheet, SheetStamp};
 use crate::time::ClockTime;
@@ -171,7 +172,8 @@
 
     fn list_peers(&mut self, now: ClockTime, mut listed: BTreeSet<InstanceId>) {
         listed.remove(&self.identity.instance);
-        self.peers.set_listed(listed, now);
+        let sample = StartSample::new(self.settings.sample, &self.identity.instance, &listed);
+        self.peers.set_listed(listed, sample, now);
     }
 
     fn hear(&mut self, now: ClockTime, message: &ExchangeMessage, sent_at: Option<ClockTime>) {
@@ -218,7 +220,8 @@
         self.update_alarms(actions);
     }
 
-    /// Says whether every listed peer has answered, is absent, or is no longer waited for.
+    /// Says whether every listed peer, or enough of them in a large fleet, has answered or is absent, or is no
+    /// longer waited for.
     fn has_asked_peers(&self, now: ClockTime) -> bool {
         let isolated = self.settings.isolated_start_after;
         self.peers.is_resolved()
@@ -285,7 +288,7 @@
         if !is_due {
             return;
         }
-        let mut peers = self.peers.unresolved();
+        let mut peers = self.peers.to_ask();
         if self.learned {
             peers.truncate(CONFIRMATION_QUERIES);
         }
@@ -293,6 +296,7 @@
             return;
         }
         self.queried_at = Some(now);
+        self.peers.count_query();
         actions.push(SheetAction::Query { peers });
     }
 
@@ -330,6 +334,9 @@
         );
         if !self.is_ready() {
             alarms.extend(self.peers.silent().cloned().map(SheetAlarm::PeerSilent));
+            if self.peers.is_fleet_silent() {
+                alarms.insert(SheetAlarm::FleetSilent);
+            }
             if !self.peers.has_list() {
                 alarms.insert(SheetAlarm::ListUnknown);
             }
--- a/crates/anvilhub-coord/src/configuration/sheet_alarm.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_alarm.rs
@@ -25,6 +25,12 @@
         "peer {_0} is listed but silent; remove it from the list, end it, or set isolated_start_after_ms"
     )]
     PeerSilent(InstanceId),
+    /// Every listed peer of a large fleet was asked, too few are sure of a sheet, and too many are silent.
+    #[display(
+        "too many listed peers are silent and too few are sure of a sheet; restore the network between \
+         instances, remove ended ones from the list, or set isolated_start_after_ms"
+    )]
+    FleetSilent,
     /// No instance list is known, so the instance cannot learn the sheet in force.
     #[display(
         "no instance list is known; restore the platform's list or set isolated_start_after_ms"
--- a/crates/anvilhub-coord/src/membership/gossip_plan.rs
+++ b/crates/anvilhub-coord/src/membership/gossip_plan.rs
@@ -21,8 +21,8 @@
 /// budget at 3,100 changes a day; what the six rounds miss, the idle rounds deliver.
 const SPREAD_PERIOD: Duration = Duration::from_secs(3);
 
-/// Fleet size up to which a round after a change reaches every peer.
-const SMALL_FLEET: usize = 32;
+/// Peers up to which a round after a change, and the queries of a start, reach every one.
+pub(super) const SMALL_FLEET: usize = 32;
 
 /// Chooses the peers that an instance exchanges state with.
 #[derive(Clone, Debug)]
--- a/crates/anvilhub-coord/src/membership/mod.rs
+++ b/crates/anvilhub-coord/src/membership/mod.rs
@@ -5,10 +5,14 @@
 mod member_state;
 mod member_table;
 mod rendezvous_hash;
+mod sample_rule;
 mod shard_owner;
+mod start_sample;
 
 pub use gossip_plan::GossipPlan;
 pub use member_state::MemberState;
 pub use member_table::MemberTable;
 pub use rendezvous_hash::RendezvousHash;
+pub use sample_rule::SampleRule;
 pub use shard_owner::ShardOwner;
+pub use start_sample::{SampleAnswer, SampleVerdict, StartSample};
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -28,6 +28,7 @@
 mod sheet_fuzz;
 mod sheets;
 mod slot_queue;
+mod start_sample;
 mod ticket_search;
 mod ticket_table;
 mod upstream_view;
