--- a/crates/anvilhub-coord/src/admission/admission_gate.rs
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 
 use crate::ids::SlotCount;
-use crate::routing::{Displaced, UrgencyQueue};
+use crate::routing::{Displaced, URGENCY_CLASSES, UrgencyQueue};
 use crate::sheet::UrgencyClass;
 use crate::time::ClockTime;
 
@@ -60,7 +60,7 @@
     /// Estimated wait and usual service time exceed the remaining time.
     #[display("too_late")]
     TooLate,
-    /// The deadline passed while the request waited.
+    /// The request waited until its remaining time was below what requests of its urgency need.
     #[display("expired")]
     Expired,
     /// The queue is full of requests that are at least as urgent.
@@ -152,9 +152,9 @@
         self.limit.get()
     }
 
-    /// Usual time between admission and answer.
-    pub fn usual_service(&self) -> Duration {
-        self.wait.usual_service()
+    /// Usual time between admission and answer of a request of `urgency`.
+    pub fn usual_service(&self, urgency: UrgencyClass) -> Duration {
+        self.wait.usual_service(urgency)
     }
 
     /// Decides on a request that arrives at `now`.
@@ -173,7 +173,13 @@
                 self.wait.wait(ahead, self.limit.get())
             }
         };
-        if now + estimated_wait + self.wait.usual_service() >= deadline {
+        // Only finished requests change the estimate, so while none runs one is let in whatever it says:
+        // otherwise it would refuse for ever after a slow time.
+        let expected = match self.running {
+            0 => Duration::ZERO,
+            _ => estimated_wait + self.wait.usual_service(urgency),
+        };
+        if now + expected >= deadline {
             return AdmissionArrival {
                 verdict: AdmissionVerdict::Refused(Refusal {
                     item,
@@ -196,25 +202,43 @@
 
     /// Counts the end of a request that was started and hands out waiting ones.
     ///
-    /// `service_time` is the time since its start, also when it ended without an answer.
+    /// `service_time` is the time since its start, also when it ended without an answer. It counts for every
+    /// urgency class; use `finish_as` where the class is known.
     pub fn finish(&mut self, now: ClockTime, service_time: Duration) -> AdmissionRelease<T> {
+        for urgency in URGENCY_CLASSES {
+            self.wait.record(urgency, service_time);
+        }
+        self.end(now, service_time)
+    }
+
+    /// Counts the end of a request of `urgency`, as `finish` does.
+    pub fn finish_as(
+        &mut self,
+        now: ClockTime,
+        urgency: UrgencyClass,
+        service_time: Duration,
+    ) -> AdmissionRelease<T> {
+        self.wait.record(urgency, service_time);
+        self.end(now, service_time)
+    }
+
+    fn end(&mut self, now: ClockTime, service_time: Duration) -> AdmissionRelease<T> {
         self.running = self.running.saturating_sub(1);
-        self.wait.record(service_time);
         self.limit.record(now, service_time);
         self.advance(now)
     }
 
     /// Hands out what `now` allows. Call it a few times per second even when nothing finishes.
     pub fn advance(&mut self, now: ClockTime) -> AdmissionRelease<T> {
-        let usual = self.wait.usual_service();
+        let wait = self.wait;
         let refused = self
             .queue
-            .expire(now + usual)
+            .expire(|urgency| now + wait.safe_service(urgency))
             .into_iter()
             .map(|item| Refusal {
                 item,
                 reason: RefusalReason::Expired,
-                estimated_wait: usual,
+                estimated_wait: wait.wait(0, self.limit.get()),
             })
             .collect();
         let mut start = Vec::new();
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -1,7 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use anvilhub_coord::connection::ConnectionShare;
@@ -10,7 +9,7 @@
 use anvilhub_coord::sheet::{RepeatPolicy, RouteMode};
 use anvilhub_coord::time::ClockTime;
 use crossbeam::channel::tick;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use log::{debug, warn};
 use metrics::{counter, gauge};
 use tokio::runtime::Handle;
@@ -22,6 +21,8 @@
 use crate::routes::leaving_news;
 use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
+use super::controller_thread;
+
 /// Time between two rounds: queues are advanced a few times per second at least.
 const ROUND_INTERVAL: Duration = Duration::from_millis(50);
 /// Time between two load reports of an upstream.
@@ -58,11 +59,7 @@
     }
 
     pub(crate) fn spawn(self) -> Result<()> {
-        thread::Builder::new()
-            .name("upstreams".to_owned())
-            .spawn(move || self.run())
-            .wrap_err("cannot start the upstream controller")?;
-        Ok(())
+        controller_thread::start("upstreams", move || self.run())
     }
 
     fn run(mut self) {
@@ -113,7 +110,7 @@
         }
         self.divided = state;
         if let Some(list) = list {
-            leaving_news::mark_listed(routes, &list);
+            leaving_news::follow_list(routes, &list, self.context.clock.now());
         }
         for service in routes.services.values() {
             for shard in &service.shards {
@@ -131,6 +128,15 @@
         gauge!("anvilhub_requests_running", "service" => name.clone()).set(running);
         gauge!("anvilhub_requests_waiting", "service" => name.clone()).set(waiting as f64);
         gauge!("anvilhub_admission_limit", "service" => name.clone()).set(limit);
+        let views = service.upstreams().map(|upstream| upstream.load(now));
+        let (leaving, ejected) = views.fold((0, 0), |(leaving, ejected), load| {
+            (
+                leaving + u32::from(load.leaving),
+                ejected + u32::from(load.ejected),
+            )
+        });
+        gauge!("anvilhub_leaving_upstreams", "service" => name.clone()).set(leaving);
+        gauge!("anvilhub_ejected_upstreams", "service" => name.clone()).set(ejected);
         let mut queued = 0;
         for shard in &service.shards {
             let usable = shard.usable_slots(now);
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -67,7 +67,7 @@
         };
         // The decision comes after the wait for the connection: the process may have been paused in it.
         if self.context.was_paused_since(self.request.arrived) {
-            return Some(TicketOutcome::NotRun(NotRunReason::Shed));
+            return Some(TicketOutcome::NotRun(NotRunReason::Paused));
         }
         if let SendDecision::Stop(outcome) = run.may_send(self.context.clock.now()) {
             return Some(outcome);
@@ -75,7 +75,7 @@
         let result = self.send(lease, run, replica.address).await;
         let tried = match &result {
             Ok(_) => TryResult::Answered,
-            Err(PoolError::Unconnected { .. }) => TryResult::NeverOpened,
+            Err(PoolError::Unconnected { .. } | PoolError::Unsent { .. }) => TryResult::NeverOpened,
             Err(PoolError::Refused { .. }) => TryResult::Refused,
             Err(_) => TryResult::Lost,
         };
