Let silent peers of a large fleet take turns at every query size

Cause: a resumed instance asks 8 peers at a time, while the silent ones were turned by a batch of 21. Of 63 silent peers the same 24 were asked again and again; one of the others that returned was met by gossip only.

Change: StartSample::judge takes the number of peers to name and turns by it.

Ruled out: turning by one peer a query, which takes as many queries as there are silent peers.

Test: silent_peers_take_turns covers both sizes; with turns of 21 it fails with 24 of 63 peers asked.

--- a/crates/anvilhub-coord/src/configuration/peer_ledger.rs
+++ b/crates/anvilhub-coord/src/configuration/peer_ledger.rs
@@ -92,12 +92,16 @@
     }
 
     /// Peers to ask next, silent ones last: all listed ones that have neither answered nor are absent, or in a
-    /// large fleet those that the sample lacks.
-    pub(crate) fn to_ask(&self) -> Vec<InstanceId> {
-        match self.judge_sample() {
+    /// large fleet those that the sample lacks. At most `limit`.
+    pub(crate) fn to_ask(&self, limit: usize) -> Vec<InstanceId> {
+        match self.judge_sample(limit) {
             Some(SampleVerdict::Ask(peers)) => peers,
             Some(SampleVerdict::Enough) => Vec::new(),
-            None => self.unresolved(),
+            None => {
+                let mut peers = self.unresolved();
+                peers.truncate(limit);
+                peers
+            }
         }
     }
 
@@ -108,9 +112,9 @@
         }
     }
 
-    fn judge_sample(&self) -> Option<SampleVerdict> {
+    fn judge_sample(&self, limit: usize) -> Option<SampleVerdict> {
         let sample = self.sample.as_ref()?;
-        Some(sample.judge(self.turn, |id| self.answer_of(id)))
+        Some(sample.judge(self.turn, limit, |id| self.answer_of(id)))
     }
 
     fn answer_of(&self, id: &InstanceId) -> SampleAnswer {
@@ -150,7 +154,7 @@
                     .iter()
                     .all(|id| self.contact(id) == PeerContact::Silent)
         };
-        match self.judge_sample() {
+        match self.judge_sample(usize::MAX) {
             Some(SampleVerdict::Ask(peers)) => is_silent(peers),
             _ => false,
         }
@@ -158,7 +162,7 @@
 
     /// Says whether a list is known and nobody has to be asked any more.
     pub(crate) fn is_resolved(&self) -> bool {
-        self.has_list() && self.to_ask().is_empty()
+        self.has_list() && self.to_ask(usize::MAX).is_empty()
     }
 
     /// Says whether a peer that is sure of its sheet has answered.
--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -288,10 +288,11 @@
         if !is_due {
             return;
         }
-        let mut peers = self.peers.to_ask();
-        if self.learned {
-            peers.truncate(CONFIRMATION_QUERIES);
-        }
+        let limit = match self.learned {
+            true => CONFIRMATION_QUERIES,
+            false => usize::MAX,
+        };
+        let peers = self.peers.to_ask(limit);
         if peers.is_empty() {
             return;
         }
--- a/crates/anvilhub-coord/src/membership/start_sample.rs
+++ b/crates/anvilhub-coord/src/membership/start_sample.rs
@@ -35,7 +35,7 @@
 pub enum SampleVerdict {
     /// The instance may go on.
     Enough,
-    /// These peers have to be asked, at most a batch, those that were silent last.
+    /// These peers have to be asked, those that were silent last.
     Ask(Vec<InstanceId>),
 }
 
@@ -59,11 +59,12 @@
     ///
     /// Batches are asked in turn. After each, `ready_answers` ready peers are enough, whoever stayed silent.
     /// While there are fewer, the next batch is asked, to the end of the list: a sheet that a single peer holds
-    /// is found. After the last batch, few enough must be silent. `turn` counts the queries made: silent peers
-    /// take turns when they do not fit into a batch.
+    /// is found. After the last batch, few enough must be silent. At most `limit` peers and a batch are named;
+    /// `turn` counts the queries made, so that silent peers take turns when they do not fit.
     pub fn judge(
         &self,
         turn: usize,
+        limit: usize,
         answer: impl Fn(&InstanceId) -> SampleAnswer,
     ) -> SampleVerdict {
         let mut ready = 0;
@@ -79,7 +80,7 @@
                 }
             }
             if !open.is_empty() {
-                return self.ask(turn, open, silent);
+                return self.ask(turn, limit, open, silent);
             }
             if ready >= self.rule.ready_answers {
                 return SampleVerdict::Enough;
@@ -87,23 +88,24 @@
         }
         match silent.len() <= self.ranked.len() / self.rule.silent_divisor.max(1) {
             true => SampleVerdict::Enough,
-            false => self.ask(turn, open, silent),
+            false => self.ask(turn, limit, open, silent),
         }
     }
 
     fn ask(
         &self,
         turn: usize,
+        limit: usize,
         mut open: Vec<InstanceId>,
         mut silent: Vec<InstanceId>,
     ) -> SampleVerdict {
-        let batch = self.rule.batch.max(1);
+        let count = limit.min(self.rule.batch).max(1);
         if !silent.is_empty() {
-            let first = turn.wrapping_mul(batch) % silent.len();
+            let first = turn.wrapping_mul(count) % silent.len();
             silent.rotate_left(first);
         }
         open.append(&mut silent);
-        open.truncate(batch);
+        open.truncate(count);
         SampleVerdict::Ask(open)
     }
 }
--- a/crates/anvilhub-coord/tests/start_sample.rs
+++ b/crates/anvilhub-coord/tests/start_sample.rs
@@ -32,9 +32,11 @@
 fn ask(sample: &StartSample, answer: impl Fn(&InstanceId) -> SampleAnswer) -> Option<usize> {
     let asked = RefCell::new(BTreeSet::new());
     for turn in 0..500 {
-        let verdict = sample.judge(turn, |peer| match asked.borrow().contains(peer) {
-            true => answer(peer),
-            false => SampleAnswer::Open,
+        let verdict = sample.judge(turn, usize::MAX, |peer| {
+            match asked.borrow().contains(peer) {
+                true => answer(peer),
+                false => SampleAnswer::Open,
+            }
         });
         match verdict {
             SampleVerdict::Enough => return Some(asked.borrow().len()),
@@ -110,16 +112,19 @@
 
 #[test]
 fn silent_peers_take_turns() {
-    // 100 peers are silent at first; the one that returns must be asked again although they fill five batches.
-    let sample = sample("own", 100);
-    let mut asked = BTreeSet::new();
-    for turn in 0..5 {
-        if let SampleVerdict::Ask(peers) = sample.judge(turn, |_| SampleAnswer::Silent) {
-            assert!(peers.len() <= 21);
-            asked.extend(peers);
+    // All of 63 peers are silent at first. The one that returns must be asked again, by an instance that starts and
+    // by a resumed one, which asks 8 at a time.
+    let sample = sample("own", 63);
+    for (limit, turns) in [(usize::MAX, 3), (8, 8)] {
+        let mut asked = BTreeSet::new();
+        for turn in 0..turns {
+            if let SampleVerdict::Ask(peers) = sample.judge(turn, limit, |_| SampleAnswer::Silent) {
+                assert!(peers.len() <= 21.min(limit));
+                asked.extend(peers);
+            }
         }
+        assert_eq!(asked.len(), 63);
     }
-    assert_eq!(asked.len(), 100);
 }
 
 #[test]
@@ -128,7 +133,7 @@
     let mut counts = std::collections::BTreeMap::new();
     for own in names(1_900) {
         let sample = sample(&own, 1_900);
-        if let SampleVerdict::Ask(peers) = sample.judge(0, |_| SampleAnswer::Open) {
+        if let SampleVerdict::Ask(peers) = sample.judge(0, usize::MAX, |_| SampleAnswer::Open) {
             for peer in peers {
                 *counts.entry(peer).or_insert(0_u32) += 1;
             }
