--- a/crates/anvilhub-dev/src/process/child_process.rs
+++ b/crates/anvilhub-dev/src/process/child_process.rs
@@ -48,6 +48,11 @@
         })
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until `is_ready`.
     ///
     /// # Errors
