--- /dev/null
+++ b/crates/anvilhub-dev/src/capacity/ticket_measure.rs
@@ -0,0 +1,93 @@
+use std::sync::Arc;
+
+use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome, RowEntry};
+use anvilhub_coord::ids::{CallerName, Incarnation, ServiceName};
+use anvilhub_coord::ticket::{
+    RequestDigest, TicketIdentity, TicketLimits, TicketOutcome, TicketStart, TicketTable, TryResult,
+};
+use anvilhub_coord::time::ClockTime;
+use eyre::{Result, ensure};
+
+use super::{CpuMeter, FleetModel, HeapMeter, MeasuredSeries};
+
+/// Records that the table holds; the limit of the product is 16,384.
+const TICKETS: [usize; 5] = [1_000, 2_000, 4_000, 8_000, 16_000];
+
+/// Memory and work of tickets.
+#[derive(Clone, Copy, Debug)]
+pub struct TicketMeasure;
+
+impl TicketMeasure {
+    /// Measures tables of several sizes whose records carry a short answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the table refuses a ticket.
+    pub fn run() -> Result<Vec<MeasuredSeries>> {
+        let mut issued = MeasuredSeries::new("issued tickets, heap bytes", "ticket");
+        let mut settled = MeasuredSeries::new("settled tickets, heap bytes", "ticket");
+        let mut work = MeasuredSeries::new("issue, start, send and finish, CPU us", "ticket");
+        for tickets in TICKETS {
+            let (table, held) = HeapMeter::bytes_of(|| filled(tickets, false));
+            table?;
+            issued.add(tickets, held);
+            let (table, held) = HeapMeter::bytes_of(|| filled(tickets, true));
+            table?;
+            settled.add(tickets, held);
+            work.add(
+                tickets,
+                CpuMeter::micros_of(|| filled(tickets, true).is_ok()),
+            );
+        }
+        Ok(vec![issued, settled, work])
+    }
+}
+
+fn filled(tickets: usize, settle: bool) -> Result<TicketTable> {
+    let identity = TicketIdentity {
+        instance: FleetModel::instance(7),
+        address: ([10, 120, 0, 7], 7_401).into(),
+        incarnation: Incarnation(u64::MAX),
+    };
+    let limits = TicketLimits {
+        max_tickets: usize::MAX,
+        ..TicketLimits::default()
+    };
+    let mut table = TicketTable::new(identity, limits);
+    let service: ServiceName = "dispatch".parse()?;
+    let caller: CallerName = "dispatcher".parse()?;
+    for number in 0..tickets as u64 {
+        let now = ClockTime(number);
+        let ticket = table.issue(service.clone(), caller.clone(), number, now)?;
+        if !settle {
+            continue;
+        }
+        let digest = RequestDigest::of(number, "book 40 kerb stones for lane 7");
+        let deadline = ClockTime::from_millis(5_000);
+        let TicketStart::Run(mut run) = table.start(&ticket, digest, deadline, now)? else {
+            continue;
+        };
+        run.may_send(now);
+        run.after_try(TryResult::Answered);
+        table.finish(run, answer(number), now);
+    }
+    ensure!(table.len() == tickets, "the table dropped records");
+    Ok(table)
+}
+
+fn answer(number: u64) -> TicketOutcome {
+    TicketOutcome::Done(Arc::new(QueryAnswer {
+        request_id: format!("dispatch-{number}")
+            .parse()
+            .expect("the text is an identifier"),
+        outcome: QueryOutcome::Done,
+        rows: vec![RowEntry {
+            key: number,
+            value: "booked, pallet run 12, gate 3".to_owned(),
+        }],
+        snapshot: None,
+        coverage: None,
+        ticket: None,
+        error: None,
+    }))
+}
