Serve nothing by the sheet of before a pause

Three causes, each seen: an input handled between the note of a pause and its message set the instance ready again; the platform, which may be stale, confirmed the old sheet before any peer was asked; and the heartbeat thread had taken note of the pause but not yet withdrawn the readiness when a request looked. Change: readiness carries the end of the pause that the acceptor has heard of, and every use compares it with the detector's, which is published before the heartbeat; the platform's word counts only when the peers that were asked do not answer. Silent instances count when connections are divided, since they still hold theirs.

--- a/crates/anvilhub-coord/src/configuration/peer_ledger.rs
+++ b/crates/anvilhub-coord/src/configuration/peer_ledger.rs
@@ -196,6 +196,11 @@
         Some((best.0, best.2.clone()))
     }
 
+    /// Says whether the last exchange with a peer timed out.
+    pub(crate) fn is_silent(&self, id: &InstanceId) -> bool {
+        self.contact(id) == PeerContact::Silent
+    }
+
     fn contact(&self, id: &InstanceId) -> PeerContact {
         let report = self.reports.get(id);
         report.map(|report| report.contact).unwrap_or_default()
--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -44,6 +44,8 @@
     /// Start of the instance or end of its last pause; answers to exchanges sent earlier prove nothing.
     pub(super) valid_from: ClockTime,
     confirmed: bool,
+    /// Whether the platform served the sheet in force since `valid_from`.
+    pub(super) served: bool,
     /// Highest sheet that a peer was seen to have in force.
     highest_seen: Option<SheetStamp>,
     pub(super) platform_down: bool,
@@ -71,6 +73,7 @@
             queried_at: None,
             valid_from: now,
             confirmed: false,
+            served: false,
             highest_seen: None,
             platform_down: false,
             last_read: None,
@@ -166,10 +169,6 @@
         actions.push(SheetAction::Announce);
     }
 
-    pub(super) fn confirm(&mut self) {
-        self.confirmed = true;
-    }
-
     fn list_peers(&mut self, now: ClockTime, mut listed: BTreeSet<InstanceId>) {
         listed.remove(&self.identity.instance);
         let sample = StartSample::new(self.settings.sample, &self.identity.instance, &listed);
@@ -201,6 +200,7 @@
         }
         self.valid_from = now;
         self.confirmed = false;
+        self.served = false;
         self.queried_at = None;
         self.fetch = None;
         self.peers.forget_contacts();
@@ -273,11 +273,18 @@
             self.learned = true;
             self.confirmed = true;
         }
-        if self.learned && self.peers.has_ready_answer() {
+        if self.learned && (self.peers.has_ready_answer() || self.is_served_alone()) {
             self.confirmed = true;
         }
     }
 
+    /// Says whether the platform serves the sheet in force and no peer can tell of a newer one: those that were
+    /// asked do not answer. The platform may be stale, so peers are asked first.
+    fn is_served_alone(&self) -> bool {
+        let asked = self.peers.to_ask(CONFIRMATION_QUERIES);
+        self.served && asked.iter().all(|peer| self.peers.is_silent(peer))
+    }
+
     fn query_peers(&mut self, now: ClockTime, actions: &mut Vec<SheetAction>) {
         if self.is_ready() {
             return;
--- a/crates/anvilhub-coord/src/configuration/sheet_offer.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_offer.rs
@@ -50,9 +50,7 @@
         let is_same = self
             .stamp()
             .is_some_and(|own| own.digest == sheet.digest && asked_at >= self.valid_from);
-        if is_same {
-            self.confirm();
-        }
+        self.served = is_same;
         self.platform_stale = self.stale_alarm(&sheet);
         self.offer(sheet, revision, actions);
     }
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -18,6 +18,7 @@
 mod member_table;
 mod owner_health;
 mod pause_detection;
+mod platform_confirmation;
 mod replica_picker;
 mod retry_budget;
 mod scenario;
--- /dev/null
+++ b/crates/anvilhub-coord/tests/platform_confirmation.rs
@@ -0,0 +1,77 @@
+//! Guards against a stale platform that confirms an old sheet after a pause, while a peer has a newer one.
+
+use std::time::Duration;
+
+use anvilhub_coord::configuration::{
+    AcceptorSettings, ExchangeMessage, PeerIdentity, PeerStage, SheetAcceptor, SheetInput,
+};
+use anvilhub_coord::ids::{Incarnation, PlatformRevision};
+use anvilhub_coord::time::ClockTime;
+
+use crate::fleet::{id, sheet};
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn identity(name: &str) -> PeerIdentity {
+    PeerIdentity {
+        instance: id(name),
+        incarnation: Incarnation(1),
+        peer_address: "127.0.0.1:7201"
+            .parse()
+            .expect("a constant address is valid"),
+        failure_domain: "fd-a".parse().expect("a constant identifier is valid"),
+    }
+}
+
+fn first_sheet(asked_at: ClockTime) -> SheetInput {
+    SheetInput::PlatformValue {
+        asked_at,
+        revision: PlatformRevision(10),
+        bytes: sheet(1, 1, &["desk"]),
+    }
+}
+
+/// An instance that is ready with the first sheet, with one listed peer, and was then paused.
+fn resumed() -> SheetAcceptor {
+    let mut acceptor = SheetAcceptor::new(identity("a"), AcceptorSettings::default(), at(0));
+    acceptor.handle(at(0), SheetInput::PeersListed([id("b")].into()));
+    let message = ExchangeMessage {
+        sender: identity("b"),
+        stage: PeerStage::Learning,
+        accepted: None,
+        candidate: None,
+        draining: Vec::new(),
+    };
+    let sent_at = Some(at(0));
+    acceptor.handle(at(1), SheetInput::PeerMessage { message, sent_at });
+    acceptor.handle(at(1), first_sheet(at(1)));
+    for millis in (100..2_000).step_by(100) {
+        acceptor.handle(at(millis), SheetInput::Tick);
+    }
+    assert!(acceptor.is_ready());
+    acceptor.handle(at(10_000), SheetInput::Resumed);
+    acceptor
+}
+
+#[test]
+fn peer_is_asked_first() {
+    let mut acceptor = resumed();
+
+    acceptor.handle(at(10_001), first_sheet(at(10_001)));
+    acceptor.handle(at(10_002), SheetInput::Tick);
+
+    assert!(!acceptor.is_ready(), "the peer may have a newer sheet");
+}
+
+#[test]
+fn platform_confirms_without_peers() {
+    let mut acceptor = resumed();
+    acceptor.handle(at(10_001), first_sheet(at(10_001)));
+
+    acceptor.handle(at(11_000), SheetInput::PeerSilent(id("b")));
+    acceptor.handle(at(11_000) + Duration::from_millis(1), SheetInput::Tick);
+
+    assert!(acceptor.is_ready());
+}
--- a/crates/anvilhub-dev/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-dev/tests/matrix/config_in_force.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::ids::PlatformRevision;
-use anvilhub_dev::process::{EntryProcess, ProcessSignal, TestTier, wait_until};
+use anvilhub_dev::process::{EntryProcess, ProcessSignal, QueryCall, TestTier, wait_until};
 use anvilhub_dev::standin::platform::{DownMode, PlatformCommand};
 use eyre::Result;
 use serde_json::json;
@@ -18,6 +18,9 @@
 /// Calls after the return of the platform: two entries read the sheet and the list, and watch both.
 const READS_AFTER_RETURN: u64 = 8;
 
+/// Gap above which an instance of a test takes itself for paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(300);
+
 fn wait_version(entry: &EntryProcess, version: u64) -> Result<()> {
     wait_until("the new sheet in force", || {
         (entry.sheet_version() == Some(version)).then_some(())
@@ -129,3 +132,29 @@
 
     wait_version(&tier.entries[1], version)
 }
+
+/// A request that waits for a paused instance must not be served by the sheet that the instance remembers, even
+/// when a stale platform serves that sheet as well.
+#[test]
+fn paused_request() -> Result<()> {
+    let settings = json!({ "pause_limit_ms": PAUSE_LIMIT.as_millis() as u64 });
+    let mut tier = start_tier(settings)?;
+    let paused = tier.entries[1].plan.caller_address;
+    tier.entries[1].child.pause()?;
+    for service in &mut tier.sheet.services {
+        service.callers = vec!["successor".parse()?];
+    }
+    let version = tier.publish_next_sheet()?;
+    wait_version(&tier.entries[0], version)?;
+    serve_first_sheet(&tier)?;
+
+    let call = QueryCall::search("stock", "foreman")?;
+    let waiting = thread::spawn(move || call.send(paused));
+    thread::sleep(2 * PAUSE_LIMIT);
+    tier.entries[1].child.signal(ProcessSignal::Continue)?;
+    let (status, answer) = waiting.join().expect("the call ends")?;
+    wait_version(&tier.entries[1], version)?;
+
+    assert_eq!(status, 403, "{answer:?}");
+    Ok(())
+}
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -108,8 +108,12 @@
         let live = live
             .filter_map(|peer| Some((peer.clone(), members.address(peer)?)))
             .collect();
-        let is_leaving = |peer: &&InstanceId| members.state(peer, now) == MemberState::Leaving;
-        let leaving: Vec<InstanceId> = members.peers().filter(is_leaving).cloned().collect();
+        // A silent instance may be paused and still holds its connections.
+        let holds_connections = |peer: &&InstanceId| {
+            let state = members.state(peer, now);
+            matches!(state, MemberState::Leaving | MemberState::Silent)
+        };
+        let leaving: Vec<InstanceId> = members.peers().filter(holds_connections).cloned().collect();
         EntryDivision::new(own, !self.is_draining(), live, leaving)
     }
 
@@ -167,9 +171,9 @@
     pub(crate) fn note_pause(&self, pause: Duration) {
         warn!(pause_ms = pause.as_millis() as u64; "the process was paused; confirming its state again");
         counter!("anvilhub_pauses_total").increment(1);
-        self.configuration.set_ready(false);
         self.pool.doubt_all();
-        self.configuration.observe(SheetInput::Resumed);
+        // Wakes the controller, which compares the end of the last pause with the one it knows.
+        self.configuration.observe(SheetInput::Tick);
     }
 
     /// Waits until the sheet in force may be used, for at most half of the time until `deadline`. Detects a
@@ -179,8 +183,17 @@
         if let Some(pause) = self.pause.check(now) {
             self.note_pause(pause);
         }
-        self.configuration.is_ready()
-            || self.configuration.wait_ready(deadline.since(now) / 2).await
+        if self.is_confirmed() {
+            return true;
+        }
+        let patience = deadline.since(now) / 2;
+        let resumed_at = || self.pause.resumed_at();
+        self.configuration.wait_ready(patience, resumed_at).await
+    }
+
+    /// Says whether the sheet in force is confirmed since the last pause that any thread has detected.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.configuration.is_ready(self.pause.resumed_at())
     }
 
     /// Says whether the process was paused after `time`.
--- a/crates/anvilhubd/src/controllers/config_controller.rs
+++ b/crates/anvilhubd/src/controllers/config_controller.rs
@@ -52,6 +52,10 @@
                 recv(inputs) -> input => input.unwrap_or(SheetInput::Tick),
                 recv(ticks) -> _ => SheetInput::Tick,
             };
+            let resumed_at = self.context.pause.resumed_at();
+            if self.context.configuration.acknowledge(resumed_at) {
+                self.handle(SheetInput::Resumed);
+            }
             self.handle(input);
             self.gossip();
             self.publish();
@@ -127,7 +131,7 @@
         };
         gauge!("anvilhub_alarms").set(alarms as f64);
         gauge!("anvilhub_sheet_confirmed").set(f64::from(u8::from(ready)));
-        self.context.configuration.set_ready(ready);
+        self.context.configuration.set_accepted(ready);
         self.publish_division();
         if ready {
             // A full channel means that the daemon knows already.
--- a/crates/anvilhubd/src/controllers/config_state.rs
+++ b/crates/anvilhubd/src/controllers/config_state.rs
@@ -1,4 +1,4 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anvilhub_coord::configuration::{
@@ -22,7 +22,22 @@
     acceptor: Mutex<SheetAcceptor>,
     sender: Sender<SheetInput>,
     receiver: Receiver<SheetInput>,
-    ready: watch::Sender<bool>,
+    readiness: watch::Sender<SheetReadiness>,
+}
+
+/// Whether the sheet in force may be used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct SheetReadiness {
+    /// What the acceptor said when it was last asked.
+    accepted: bool,
+    /// End of the last pause that the acceptor has heard of. What it said does not hold after a later one.
+    acknowledged: Option<ClockTime>,
+}
+
+impl SheetReadiness {
+    fn is_ready(&self, resumed_at: Option<ClockTime>) -> bool {
+        self.accepted && self.acknowledged >= resumed_at
+    }
 }
 
 impl ConfigState {
@@ -36,7 +51,7 @@
             acceptor: Mutex::new(SheetAcceptor::new(identity, settings, now)),
             sender,
             receiver,
-            ready: watch::channel(false).0,
+            readiness: watch::channel(SheetReadiness::default()).0,
         }
     }
 
@@ -74,20 +89,40 @@
             .collect()
     }
 
-    /// Publishes whether the sheet in force may be used.
-    pub(crate) fn set_ready(&self, ready: bool) {
-        self.ready
-            .send_if_modified(|present| std::mem::replace(present, ready) != ready);
+    /// Notes that the process resumed at `resumed_at`; says whether the acceptor has to be told. What the acceptor
+    /// said before is withdrawn then.
+    pub(crate) fn acknowledge(&self, resumed_at: Option<ClockTime>) -> bool {
+        self.readiness.send_if_modified(|readiness| {
+            let is_new = resumed_at > readiness.acknowledged;
+            if is_new {
+                readiness.accepted = false;
+                readiness.acknowledged = resumed_at;
+            }
+            is_new
+        })
+    }
+
+    /// Publishes whether the acceptor takes the sheet in force for confirmed.
+    pub(crate) fn set_accepted(&self, accepted: bool) {
+        self.readiness.send_if_modified(|readiness| {
+            std::mem::replace(&mut readiness.accepted, accepted) != accepted
+        });
     }
 
-    pub(crate) fn is_ready(&self) -> bool {
-        *self.ready.borrow()
+    /// Says whether the sheet in force may be used, when the last pause ended at `resumed_at`.
+    pub(crate) fn is_ready(&self, resumed_at: Option<ClockTime>) -> bool {
+        self.readiness.borrow().is_ready(resumed_at)
     }
 
     /// Waits for at most `patience` until the sheet in force may be used.
-    pub(crate) async fn wait_ready(self: &Arc<Self>, patience: Duration) -> bool {
-        let mut ready = self.ready.subscribe();
-        let waited = timeout(patience, ready.wait_for(|ready| *ready)).await;
+    pub(crate) async fn wait_ready(
+        &self,
+        patience: Duration,
+        resumed_at: impl Fn() -> Option<ClockTime>,
+    ) -> bool {
+        let mut readiness = self.readiness.subscribe();
+        let is_ready = |readiness: &SheetReadiness| readiness.is_ready(resumed_at());
+        let waited = timeout(patience, readiness.wait_for(is_ready)).await;
         matches!(waited, Ok(Ok(_)))
     }
 }
--- a/crates/anvilhubd/src/controllers/platform_watcher.rs
+++ b/crates/anvilhubd/src/controllers/platform_watcher.rs
@@ -47,7 +47,7 @@
         let mut pause = RetryPause::default();
         loop {
             // An instance without a confirmed sheet reads too: no peer may have one.
-            let is_ready = self.context.configuration.is_ready();
+            let is_ready = self.context.is_confirmed();
             if is_ready && !self.is_reader() {
                 cursor.reset();
                 thread::sleep(STANDBY_PAUSE);
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -68,7 +68,7 @@
 
     fn ready(&self) -> Response<Body> {
         let stage = self.context.stage.get();
-        match (stage, self.context.configuration.is_ready()) {
+        match (stage, self.context.is_confirmed()) {
             (LifecycleStage::Ready, true) => text(StatusCode::OK, "ready\n".to_owned()),
             (LifecycleStage::Ready, false) => text(
                 StatusCode::SERVICE_UNAVAILABLE,
