List the faults of the matrix once

Change: the macro `cells!` lists the faults that every guarantee is judged under; a file adds its own ones. Ruled out: one list of all faults with exceptions, since pairs of faults differ between the guarantees.

--- a/crates/anvilhub-coord/tests/matrix/graceful_stop.rs
+++ b/crates/anvilhub-coord/tests/matrix/graceful_stop.rs
@@ -12,20 +12,6 @@
 
 cells! {
     JUDGE;
-    straggler_shard_at_each_step
-    replica_lost_at_each_step
-    repartition_at_each_step
-    config_down_at_each_step
-    config_stale_at_each_step
-    process_paused_at_each_step
-    entry_partition_at_each_step
-    upstream_partition_at_each_step
-    silent_connection_at_each_step
-    planned_stop_at_each_step
-    snapshot_change_at_each_step
-    late_answer_at_each_step
-    lagging_list_at_each_step
-    misleading_load_at_each_step
     silent_and_planned_stop_at_each_step
     entry_partition_and_late_answer_at_each_step
     upstream_partition_and_paused_at_each_step
--- a/crates/anvilhub-coord/tests/matrix/mod.rs
+++ b/crates/anvilhub-coord/tests/matrix/mod.rs
@@ -3,9 +3,29 @@
 //! A test runs the scenarios of its fault (`tests/fault_scenarios/<fault>.txt`) and judges what callers observe by
 //! its guarantee alone.
 
-/// Defines a test for each fault.
+/// Defines a test for each fault that every guarantee is judged under, and for the `$more` faults.
 macro_rules! cells {
-    ($judge:expr; $($fault:ident)*) => {
+    ($judge:ident; $($more:ident)*) => {
+        cells! {
+            @each $judge;
+            straggler_shard_at_each_step
+            replica_lost_at_each_step
+            repartition_at_each_step
+            config_down_at_each_step
+            config_stale_at_each_step
+            process_paused_at_each_step
+            entry_partition_at_each_step
+            upstream_partition_at_each_step
+            silent_connection_at_each_step
+            planned_stop_at_each_step
+            snapshot_change_at_each_step
+            late_answer_at_each_step
+            lagging_list_at_each_step
+            misleading_load_at_each_step
+            $($more)*
+        }
+    };
+    (@each $judge:ident; $($fault:ident)*) => {
         $(
             #[test]
             fn $fault() {
