Test late and crossed answers about sheets

Cause: the cell config_in_force x late_answer of the fault matrix had no test. Change: at every step of a publication, an instance gets the fetched sheet and the exchange of long ago again: twice, as accepted and as a candidate, and from another peer. Ruled out: a process test, since the acceptor alone decides and the manual clock reaches every step.

--- a/crates/anvilhub-coord/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-coord/tests/matrix/config_in_force.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use anvilhub_coord::configuration::SheetInput;
+use anvilhub_coord::configuration::{FetchRequest, SheetInput};
 use anvilhub_coord::ids::InstanceId;
 
 use crate::fleet::{Fleet, id, sheet};
@@ -241,6 +241,35 @@
     assert_eq!(stamps.first().unwrap().unwrap().revision.get(), 11);
 }
 
+#[test]
+fn late_answer() {
+    // Version 1 arrives, accepted and as a candidate, when version 2 is in force or about to be: in answers to
+    // exchanges and fetches of long ago, twice, and crossed with another peer's.
+    let old = settled_fleet();
+    let acceptor = &old.processes[&id("b")].acceptor;
+    let request = FetchRequest {
+        digest: acceptor.in_force().unwrap().stamp().digest,
+        held: Vec::new(),
+    };
+    let reply = acceptor.serve_fetch(&request).unwrap();
+    let message = acceptor.message(false, Vec::new());
+    let deliver = |fleet: &mut Fleet| {
+        for (peer, accepted) in [("b", true), ("b", false), ("c", true), ("b", true)] {
+            let mut reply = reply.clone();
+            reply.accepted = accepted;
+            let peer = id(peer);
+            let input = SheetInput::Fetched { peer, reply };
+            fleet.input(&id("a"), input);
+            let input = SheetInput::PeerMessage {
+                message: message.clone(),
+                sent_at: Some(old.now),
+            };
+            fleet.input(&id("a"), input);
+        }
+    };
+    at_every_step(deliver, deliver);
+}
+
 #[test]
 fn lagging_list() {
     // The list names an instance that is gone, and lacks one that runs.
