Send no booking to a leaving upstream

Cause: tests for the seven open cells of leaving_upstream, and one with bookings, showed three faults. A ticketed request chose its replica without the upstream's view: bookings went on to a replica whose answers said that it drains. A replica that drained and restarted stays excluded at an instance that does not own the shard, because that instance reads no load report; with the first mend this ends bookings after a rolling restart. Change: a ticketed request passes leaving replicas by and takes the flag from its answer or refusal; only staying holders count; an instance reads the reports of leaving replicas of non-idempotent services, and ignores peers for 5 s after it saw that another process took the place. /state names an ended process. Ruled out: leaving replicas as the last resort of bookings, since they would get new work; load reports of every replica at every instance, since the messages grow with the fleet; keeping the state of upstreams that a sheet removed, since one answer tells again.

--- a/crates/anvilhub-dev/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-dev/tests/matrix/config_in_force.rs
@@ -15,25 +15,31 @@
 }
 
 /// Kills the second entry, and starts it again without anything it knew.
-fn restart_second(tier: &mut TestTier) -> Result<()> {
+pub(super) fn restart_second(tier: &mut TestTier) -> Result<()> {
     tier.entries[1].child.kill()?;
-    let mut entry = tier.entries[1]
+    start_again(tier, 1)
+}
+
+/// Starts an entry that was killed, and waits until it is ready.
+pub(super) fn start_again(tier: &mut TestTier, number: usize) -> Result<()> {
+    let mut entry = tier.entries[number]
         .plan
         .start(&tier.scratch, tier.platform.address)?;
     entry.wait_ready()?;
-    tier.entries[1] = entry;
+    tier.entries[number] = entry;
     Ok(())
 }
 
 /// Lets the platform go back to the first sheet.
-fn serve_first_sheet(tier: &TestTier) -> Result<()> {
+pub(super) fn serve_first_sheet(tier: &TestTier) -> Result<()> {
     tier.platform.control(&PlatformCommand {
         serve_sheet_revision: Some(PlatformRevision(1)),
         ..PlatformCommand::default()
     })
 }
 
-fn publish_everywhere(tier: &mut TestTier) -> Result<u64> {
+/// Publishes the sheet with a higher version, and waits until all entries have it in force.
+pub(super) fn publish_everywhere(tier: &mut TestTier) -> Result<u64> {
     let version = tier.publish_next_sheet()?;
     for entry in &tier.entries {
         wait_version(entry, version)?;
--- a/crates/anvilhub-dev/tests/matrix/mod.rs
+++ b/crates/anvilhub-dev/tests/matrix/mod.rs
@@ -5,6 +5,7 @@
 mod config_in_force;
 mod graceful_stop;
 mod leaving_upstream;
+mod leaving_upstream_tickets;
 mod one_snapshot;
 mod own_answer;
 mod true_coverage;
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -81,13 +81,12 @@
             self.advance(service, now);
             for shard in &service.shards {
                 for upstream in &shard.replicas {
-                    let owned = self.is_sender(service, shard);
                     plans.insert(
                         upstream.spec.address,
                         self.link_plan(service, shard, upstream),
                     );
                     silence.insert(upstream.spec.address, silence_limit(upstream));
-                    if owned {
+                    if self.needs_reports(service, shard, upstream) {
                         self.poll(upstream, now);
                     }
                 }
@@ -151,6 +150,18 @@
         service.spec.route.mode == RouteMode::Direct || shard.owner().is_none()
     }
 
+    /// Says whether this instance asks the upstream for its load. Besides the usual sender, every instance sends
+    /// ticketed requests, so each has to learn from reports that another process took a leaving upstream's place.
+    fn needs_reports(
+        &self,
+        service: &ServiceRoute,
+        shard: &ShardRoute,
+        upstream: &UpstreamRoute,
+    ) -> bool {
+        let is_ticketed = service.spec.repeatability == RepeatPolicy::NonIdempotent;
+        self.is_sender(service, shard) || (is_ticketed && upstream.leaving().is_some())
+    }
+
     /// Sub-requests that this instance keeps at the shard's replicas: enough for all slots of a shard that it
     /// owns, its share of others.
     fn share_of(&self, service: &ServiceRoute, shard: &ShardRoute, usable: SlotCount) -> SlotCount {
--- a/crates/anvilhubd/src/fanout/route_report.rs
+++ b/crates/anvilhubd/src/fanout/route_report.rs
@@ -138,7 +138,10 @@
     now: ClockTime,
 ) -> String {
     if let Some(signal) = replica.leaving() {
-        return format!("leaving, by {signal}");
+        return match replica.is_gone() {
+            true => format!("leaving, by {signal}; its process has ended"),
+            false => format!("leaving, by {signal}"),
+        };
     }
     if replica.load(now).ejected {
         return "ejected, slower than its peers or failing".to_owned();
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -209,9 +209,12 @@
         let domain = &self.context.settings.failure_domain;
         let upstreams = || self.query.candidates.iter().zip(&self.tried);
         let holds = |upstream: &UpstreamRoute| upstream.may_hold(self.query.snapshot);
+        let stays = |upstream: &UpstreamRoute| !upstream.load(now).leaving;
         // What an upstream holds may have changed since the snapshot was chosen. One that lacks it now is
-        // asked only when no other is left: the statement may be outdated.
-        let is_held = upstreams().any(|(upstream, &tried)| !tried && holds(upstream));
+        // asked only when no other is left: the statement may be outdated. A leaving holder is not asked, so it
+        // keeps no other from being asked.
+        let is_held =
+            upstreams().any(|(upstream, &tried)| !tried && holds(upstream) && stays(upstream));
         let mut candidates: Vec<_> = upstreams()
             .map(|(upstream, &tried)| ReplicaCandidate {
                 load: upstream.load(now),
--- a/crates/anvilhubd/src/routes/upstream_route.rs
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use anvilhub_coord::border::upstream::{
     LoadReport as LoadDocument, RefusalReason, SubAnswer, SubRefusal,
@@ -11,6 +12,10 @@
 
 use super::RouteCell;
 
+/// Time after a new process took an upstream's place in which peers may still speak of the old one: they poll
+/// once a second and tell with the next exchange.
+const NEWS_LAG: Duration = Duration::from_secs(5);
+
 /// What this instance knows about an upstream.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamState {
@@ -23,6 +28,8 @@
     pub(crate) polled: Option<ClockTime>,
     /// Whether its process was seen to be gone after it was leaving.
     pub(crate) gone: bool,
+    /// When another process was seen to have taken its place.
+    pub(crate) replaced: Option<ClockTime>,
 }
 
 impl UpstreamState {
@@ -70,9 +77,15 @@
         self.state.with(|state| state.range)
     }
 
+    /// Marks the upstream as leaving, unless a peer speaks of a process that was replaced.
     pub(crate) fn mark_leaving(&self, now: ClockTime, signal: LeavingSignal) {
-        self.state
-            .with(|state| state.view.mark_leaving(now, signal));
+        self.state.with(|state| {
+            let replaced = state.replaced;
+            let is_recent = replaced.is_some_and(|replaced| now.since(replaced) < NEWS_LAG);
+            if signal != LeavingSignal::Peer || !is_recent {
+                state.view.mark_leaving(now, signal);
+            }
+        });
     }
 
     /// Notes that the instance list names the upstream as live.
@@ -127,6 +140,7 @@
             if state.gone && !report.draining {
                 state.view.replaced();
                 state.gone = false;
+                state.replaced = Some(now);
             }
             state.view.reported(now, load);
             state.held = Some(report.held.clone());
@@ -134,6 +148,11 @@
         });
     }
 
+    /// Says whether it was leaving and nothing listens at its address any more.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.state.with(|state| state.gone)
+    }
+
     /// Notes that nothing listens at its address.
     pub(crate) fn absent(&self) {
         self.state
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -2,9 +2,10 @@
 use std::sync::Arc;
 
 use anvilhub_coord::border::query::{CoverageEntry, QueryAnswer, QueryOutcome};
-use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
+use anvilhub_coord::border::upstream::{RefusalReason, SubAnswer, SubRequest};
 use anvilhub_coord::ids::RequestId;
 use anvilhub_coord::keyspace::KeyRange;
+use anvilhub_coord::routing::LeavingSignal;
 use anvilhub_coord::sheet::{RepeatPolicy, ReplicaSpec, ShardSpec};
 use anvilhub_coord::ticket::{
     NotRunReason, RequestTicket, SendDecision, TicketOutcome, TicketRun, TryDecision, TryResult,
@@ -15,6 +16,7 @@
 use crate::context::EntryContext;
 use crate::filters::EntryRequest;
 use crate::pool::{ConnectionLease, PoolError};
+use crate::routes::UpstreamRoute;
 
 /// Runs one ticketed request at one upstream.
 pub(crate) struct TicketExecutor {
@@ -34,13 +36,34 @@
         let Some(shard) = service.shards_in(range).next() else {
             return TicketOutcome::NotRun(NotRunReason::NoUpstream);
         };
+        let mut reason = NotRunReason::NoUpstream;
         for replica in self.context.replicas_by_preference(shard) {
-            match self.try_replica(run, shard, replica).await {
-                Some(outcome) => return outcome,
-                None => continue,
+            let upstream = self.upstream(shard, replica);
+            // A try before this one may have waited, so the view is read anew.
+            let now = self.context.clock.now();
+            if upstream
+                .as_ref()
+                .is_some_and(|upstream| upstream.load(now).leaving)
+            {
+                self.log_try(shard, replica, "leaving");
+                continue;
+            }
+            reason = NotRunReason::Refused;
+            if let Some(outcome) = self.try_replica(run, shard, replica, upstream).await {
+                return outcome;
             }
         }
-        TicketOutcome::NotRun(NotRunReason::Refused)
+        TicketOutcome::NotRun(reason)
+    }
+
+    /// What this instance knows about the replica, unless a newer sheet removed it.
+    fn upstream(&self, shard: &ShardSpec, replica: &ReplicaSpec) -> Option<Arc<UpstreamRoute>> {
+        let routes = self.context.routes()?;
+        let service = routes.services.get(&self.request.query.service)?;
+        let mut replicas = service.shard(&shard.name)?.replicas.iter();
+        replicas
+            .find(|upstream| upstream.spec.id == replica.id)
+            .cloned()
     }
 
     /// Makes one try; `None` means that it provably did not run.
@@ -49,6 +72,7 @@
         run: &mut TicketRun,
         shard: &ShardSpec,
         replica: &ReplicaSpec,
+        upstream: Option<Arc<UpstreamRoute>>,
     ) -> Option<TicketOutcome> {
         // The pool hands out a new connection or one with a recent proof of life. A silent one would leave the
         // effect unknown.
@@ -73,6 +97,9 @@
             return Some(outcome);
         }
         let result = self.send(lease, run, replica.address).await;
+        if let (Some(signal), Some(upstream)) = (leaving_signal(&result), upstream) {
+            upstream.mark_leaving(self.context.clock.now(), signal);
+        }
         let tried = match &result {
             Ok(_) => TryResult::Answered,
             Err(PoolError::Unconnected { .. } | PoolError::Unsent { .. }) => TryResult::NeverOpened,
@@ -172,3 +199,16 @@
         );
     }
 }
+
+/// The signal in a reply that its upstream is leaving.
+fn leaving_signal(result: &crate::pool::Result<SubAnswer>) -> Option<LeavingSignal> {
+    match result {
+        Ok(answer) if answer.draining => Some(LeavingSignal::Answer),
+        Err(PoolError::Refused { refusal })
+            if refusal.draining || refusal.reason == RefusalReason::Draining =>
+        {
+            Some(LeavingSignal::Refusal)
+        }
+        _ => None,
+    }
+}
