--- /dev/null
+++ b/crates/anvilhub-dev/src/capacity/request_measure.rs
@@ -0,0 +1,255 @@
+use std::time::Duration;
+
+use anvilhub_coord::admission::{AdmissionGate, AdmissionSettings};
+use anvilhub_coord::border::query::RowEntry;
+use anvilhub_coord::border::upstream::SubAnswer;
+use anvilhub_coord::gather::{
+    AnswerGather, GatherLimits, ReplicaHolding, ShardHolding, SnapshotChooser,
+};
+use anvilhub_coord::ids::{RequestId, SlotCount, SnapshotId, UpstreamId};
+use anvilhub_coord::keyspace::{KEY_SPACE_END, KeyRange};
+use anvilhub_coord::routing::{
+    HedgePolicy, LatencyWindow, LoadReport, ReplicaCandidate, ReplicaPicker, RetryBudget,
+    SlotQueue, UpstreamView,
+};
+use anvilhub_coord::sheet::UrgencyClass;
+use anvilhub_coord::time::ClockTime;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::{CpuMeter, MeasuredSeries};
+
+/// Shards of a request, from the present desks to the size in two years.
+const FAN_OUTS: [usize; 5] = [20, 60, 100, 150, 220];
+
+/// Replicas of a shard.
+const REPLICAS: usize = 2;
+
+/// Rows of one shard's answer.
+const ROWS: u64 = 3;
+
+/// CPU time of the decisions of one request as a function of its fan-out.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestMeasure;
+
+impl RequestMeasure {
+    /// Measures each decision of a request over all its sub-requests; `seed` determines the choices.
+    pub fn run(seed: u64) -> Vec<MeasuredSeries> {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        vec![
+            series("admission: arrive and finish", |_| admission()),
+            series("SnapshotChooser: build and choose", snapshot),
+            series(
+                "ReplicaPicker with UpstreamView, all sub-requests",
+                |shards| pick(shards, &mut rng),
+            ),
+            series("RetryBudget: earn, all sub-requests", budget),
+            series("HedgePolicy: delay by quantile, all sub-requests", hedge),
+            series("SlotQueue: offer and release, all sub-requests", slots),
+            series("LatencyWindow: record, all sub-requests", record),
+            series(
+                "AnswerGather: expect, accept and finish, all answers",
+                gather,
+            ),
+            series("sub-request and sub-answer as JSON, all answers", json),
+        ]
+    }
+}
+
+fn series(quantity: &str, mut measure: impl FnMut(usize) -> f64) -> MeasuredSeries {
+    let mut series = MeasuredSeries::new(format!("{quantity}, CPU us"), "shard");
+    for shards in FAN_OUTS {
+        series.add(shards, measure(shards));
+    }
+    series
+}
+
+fn admission() -> f64 {
+    let mut gate = AdmissionGate::new(AdmissionSettings::default());
+    let mut now = ClockTime(0);
+    CpuMeter::micros_of(|| {
+        now = now + Duration::from_millis(1);
+        let deadline = now + Duration::from_millis(73);
+        gate.arrive(now, UrgencyClass::Urgent, deadline, 0_u64);
+        gate.finish(now, Duration::from_millis(5))
+    })
+}
+
+fn snapshot(shards: usize) -> f64 {
+    let upstream = |shard: usize, replica: usize| -> UpstreamId {
+        format!("service-7-{shard}-{replica}")
+            .parse()
+            .expect("the text is an identifier")
+    };
+    let holding = |shard: usize| ShardHolding {
+        range: range(shard, shards),
+        replicas: (0..REPLICAS)
+            .map(|replica| ReplicaHolding {
+                upstream: upstream(shard, replica),
+                held: Some(vec![SnapshotId(1), SnapshotId(2)]),
+            })
+            .collect(),
+    };
+    let holdings: Vec<ShardHolding> = (0..shards).map(holding).collect();
+    CpuMeter::micros_of(|| {
+        SnapshotChooser::new(KeyRange::new(0, KEY_SPACE_END), holdings.clone()).choose()
+    })
+}
+
+fn pick(shards: usize, rng: &mut SmallRng) -> f64 {
+    let mut views = vec![UpstreamView::default(); shards * REPLICAS];
+    let mut now = ClockTime(0);
+    let picker = ReplicaPicker::default();
+    CpuMeter::micros_of(|| {
+        now = now + Duration::from_millis(1);
+        for shard in views.chunks_mut(REPLICAS) {
+            let candidates: Vec<ReplicaCandidate> = shard
+                .iter()
+                .map(|view| ReplicaCandidate {
+                    load: view.load(now),
+                    same_domain: false,
+                    tried: false,
+                    full: false,
+                })
+                .collect();
+            if let Ok(choice) = picker.pick(&candidates, None, rng) {
+                shard[choice.index].sent();
+                let latency = Duration::from_millis(5);
+                shard[choice.index].answered(now, latency, LoadReport::default());
+            }
+        }
+    })
+}
+
+fn budget(shards: usize) -> f64 {
+    let mut budget = RetryBudget::new(0.05);
+    let mut now = ClockTime(0);
+    CpuMeter::micros_of(|| {
+        now = now + Duration::from_millis(1);
+        (0..shards).for_each(|_| budget.earn(now));
+    })
+}
+
+fn window() -> LatencyWindow {
+    let mut window = LatencyWindow::default();
+    for sample in 0..200 {
+        window.record(ClockTime(1), Duration::from_micros(2_000 + sample * 40));
+    }
+    window
+}
+
+fn hedge(shards: usize) -> f64 {
+    let (shard, service) = (window(), window());
+    let policy = HedgePolicy::new(0.95);
+    CpuMeter::micros_of(|| {
+        (0..shards)
+            .filter(|_| std::hint::black_box(policy.delay(&shard, &service)).is_some())
+            .count()
+    })
+}
+
+fn slots(shards: usize) -> f64 {
+    let queue = || SlotQueue::new(SlotCount(2), 256, Duration::from_millis(1));
+    let mut queues: Vec<SlotQueue<u64>> = (0..shards).map(|_| queue()).collect();
+    let mut now = ClockTime(0);
+    CpuMeter::micros_of(|| {
+        now = now + Duration::from_millis(1);
+        let deadline = now + Duration::from_millis(73);
+        for queue in &mut queues {
+            for item in 0..3 {
+                queue.offer(now, UrgencyClass::Urgent, deadline, item);
+            }
+            (0..3).for_each(|_| drop(queue.release(now)));
+        }
+    }) / 3.0
+}
+
+fn record(shards: usize) -> f64 {
+    let mut windows = vec![LatencyWindow::default(); shards];
+    let mut now = ClockTime(0);
+    CpuMeter::micros_of(|| {
+        now = now + Duration::from_millis(1);
+        for window in &mut windows {
+            window.record(now, Duration::from_millis(5));
+        }
+    })
+}
+
+fn range(shard: usize, shards: usize) -> KeyRange {
+    let (shard, shards) = (shard as u64, shards as u64);
+    KeyRange::new(
+        KEY_SPACE_END * shard / shards,
+        KEY_SPACE_END * (shard + 1) / shards,
+    )
+}
+
+fn answers(shards: usize) -> Vec<(RequestId, KeyRange, SubAnswer)> {
+    let answer = |shard: usize| {
+        let id: RequestId = format!("request-000001/{shard}")
+            .parse()
+            .expect("the text is an identifier");
+        let range = range(shard, shards);
+        let row = |index: u64| RowEntry {
+            key: range.start + index,
+            value: format!("kerb 100x25 grey, quarry {shard}, {index} pallets"),
+        };
+        let answer = SubAnswer {
+            request_id: id.clone(),
+            snapshot: SnapshotId(2),
+            start: range.start,
+            end: range.end,
+            rows: (0..ROWS).map(row).collect(),
+            held: vec![SnapshotId(1), SnapshotId(2)],
+            draining: false,
+            in_flight: Some(2),
+        };
+        (id, range, answer)
+    };
+    (0..shards).map(answer).collect()
+}
+
+/// The copies of the answers, which a real request receives instead, are measured apart and subtracted.
+fn gather(shards: usize) -> f64 {
+    let answers = answers(shards);
+    let copies = CpuMeter::micros_of(|| answers.clone());
+    let whole = CpuMeter::micros_of(|| {
+        let asked = KeyRange::new(0, KEY_SPACE_END);
+        let mut gather = AnswerGather::new(asked, GatherLimits::default());
+        gather.pin(SnapshotId(2));
+        for (id, range, _) in &answers {
+            gather.expect(id.clone(), *range);
+        }
+        for (id, _, answer) in answers.clone() {
+            // An answer that is refused would leave its range missing; the check below would show it.
+            let _ = gather.accept(&id, answer);
+        }
+        assert!(gather.is_complete(), "the generated answers cover all keys");
+        gather.finish()
+    });
+    whole - copies
+}
+
+fn json(shards: usize) -> f64 {
+    let answers = answers(shards);
+    let texts: Vec<Vec<u8>> = answers
+        .iter()
+        .map(|(_, _, answer)| serde_json::to_vec(answer).unwrap_or_default())
+        .collect();
+    CpuMeter::micros_of(|| {
+        let read = texts
+            .iter()
+            .filter(|text| serde_json::from_slice::<SubAnswer>(text).is_ok())
+            .count();
+        let written: usize = answers
+            .iter()
+            .map(|(id, range, _)| {
+                let request = serde_json::json!({
+                    "request_id": id, "service": "stock", "start": range.start, "end": range.end,
+                    "snapshot": 2, "deadline_ms": 60, "idempotent": true, "query": "kerb 100x25 grey"
+                });
+                request.to_string().len()
+            })
+            .sum();
+        (read, written)
+    })
+}
--- a/crates/anvilhubd/src/routes/upstream_route.rs
+++ b/crates/anvilhubd/src/routes/upstream_route.rs
@@ -15,6 +15,8 @@
 /// Time after a new process took an upstream's place in which peers may still speak of the old one: they poll
 /// once a second and tell with the next exchange.
 const NEWS_LAG: Duration = Duration::from_secs(5);
+/// Age up to which an answer's statement of the held snapshots outweighs a load report, which may lag.
+const STATEMENT_AGE: Duration = Duration::from_secs(2);
 
 /// What this instance knows about an upstream.
 #[derive(Debug, Default)]
@@ -22,6 +24,8 @@
     pub(crate) view: UpstreamView,
     /// Snapshots of its latest statement.
     pub(crate) held: Option<Vec<SnapshotId>>,
+    /// When an answer or a refusal last stated what it holds.
+    pub(crate) stated: Option<ClockTime>,
     /// Keys of its latest load report.
     pub(crate) range: Option<KeyRange>,
     /// When its load was last asked for.
@@ -107,6 +111,7 @@
         self.state.with(|state| {
             state.view.answered(now, now.since(sent), load);
             state.held = Some(answer.held.clone());
+            state.stated = Some(now);
         });
     }
 
@@ -122,6 +127,7 @@
             state.view.refused(now, load);
             if states_held(refusal) {
                 state.held = Some(refusal.held.clone());
+                state.stated = Some(now);
             }
             if refusal.reason == RefusalReason::Cold && !state.view.is_ejected(now) {
                 state.view.eject(now);
@@ -143,7 +149,12 @@
                 state.replaced = Some(now);
             }
             state.view.reported(now, load);
-            state.held = Some(report.held.clone());
+            if state
+                .stated
+                .is_none_or(|stated| now.since(stated) >= STATEMENT_AGE)
+            {
+                state.held = Some(report.held.clone());
+            }
             state.range = Some(KeyRange::new(report.start, report.end));
         });
     }
