Pay for bypassing a lost owner, and bypass it until it answers

Cause: a sub-request that waited for a dead owner was looked at once, after 31 ms, and sent directly only if the entry's budget paid. The owner alone earned tokens for forwarded sub-requests, so entries that own nothing could not pay, and their queries held admission places until the deadline. Every 500 ms an entry tried the dead owner again with all sub-requests of 30 ms.

Change: the sender keeps a quarter of what a forwarded sub-request earns; waiting sub-requests look every 10 ms; a bypass ends with a message from the owner, which pings ask for. The daemon does the same.

Handing admission places back was not tried: no wait for an owner remains long.

The test that expected a bypass to end after 500 ms is replaced by one that expects it to last until a message arrives, and one on the pings.

--- a/crates/anvilhub-coord/src/routing/owner_health.rs
+++ b/crates/anvilhub-coord/src/routing/owner_health.rs
@@ -4,17 +4,21 @@
 
 /// Time without any message from an owner that has work of this instance, after which it is bypassed.
 const SILENCE_LIMIT: Duration = Duration::from_millis(30);
-/// Time for which a silent owner is bypassed before the next sub-request tries it again.
-const BYPASS_TIME: Duration = Duration::from_millis(500);
+/// Least silence before a ping, and least time between pings: answers show life often enough otherwise.
+const PING_INTERVAL: Duration = Duration::from_millis(10);
+/// Least time between pings to a bypassed owner.
+const BYPASSED_PING_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Whether an owning instance answers, as seen by an instance that sends sub-requests to it.
 ///
-/// Owners acknowledge a batch at once or answer other sub-requests meanwhile; any message counts.
+/// Any message counts. A bypassed owner gets pings alone until it answers: a sub-request that tries a dead owner
+/// loses the silence limit and needs budget to be sent again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OwnerHealth {
     outstanding: u32,
     waiting_since: Option<ClockTime>,
-    bypassed_until: Option<ClockTime>,
+    pinged: Option<ClockTime>,
+    given_up: bool,
 }
 
 impl OwnerHealth {
@@ -28,13 +32,13 @@
     pub fn heard(&mut self, now: ClockTime, done: bool) {
         self.outstanding = self.outstanding.saturating_sub(u32::from(done));
         self.waiting_since = (self.outstanding > 0).then_some(now);
-        self.bypassed_until = None;
+        self.given_up = false;
     }
 
     /// Counts a message that is no longer waited for, or whose connection broke.
-    pub fn given_up(&mut self, now: ClockTime) {
+    pub fn given_up(&mut self) {
         self.outstanding = self.outstanding.saturating_sub(1);
-        self.bypassed_until = Some(now + BYPASS_TIME);
+        self.given_up = true;
         if self.outstanding == 0 {
             self.waiting_since = None;
         }
@@ -42,9 +46,28 @@
 
     /// Says whether sub-requests go directly to the upstreams at `now`.
     pub fn is_bypassed(&self, now: ClockTime) -> bool {
-        let silent = self
-            .waiting_since
-            .is_some_and(|since| now.since(since) >= SILENCE_LIMIT);
-        silent || self.bypassed_until.is_some_and(|until| now < until)
+        self.given_up || self.is_silent(now, SILENCE_LIMIT)
+    }
+
+    /// Says whether to ping the owner at `now`, and counts the ping if so. Call it for waiting sub-requests and for
+    /// those that bypass the owner.
+    #[must_use]
+    pub fn begin_ping(&mut self, now: ClockTime) -> bool {
+        let interval = match self.is_bypassed(now) {
+            true => BYPASSED_PING_INTERVAL,
+            false => PING_INTERVAL,
+        };
+        let needed = self.given_up || self.is_silent(now, PING_INTERVAL);
+        let recent = self.pinged.is_some_and(|time| now.since(time) < interval);
+        if !needed || recent {
+            return false;
+        }
+        self.pinged = Some(now);
+        true
+    }
+
+    fn is_silent(&self, now: ClockTime, limit: Duration) -> bool {
+        self.waiting_since
+            .is_some_and(|since| now.since(since) >= limit)
     }
 }
--- a/crates/anvilhub-coord/src/routing/retry_budget.rs
+++ b/crates/anvilhub-coord/src/routing/retry_budget.rs
@@ -11,6 +11,9 @@
 const STEP_COUNT: u64 = WINDOW_STEPS + 1;
 /// One hedge or retry, in units that are counted without rounding.
 const TOKEN: u64 = 1_000_000;
+/// Percent of what a sub-request earns that stay with the instance that forwards it to an owner. They pay for
+/// sending it again when the owner is lost; the owner earns the rest.
+const SENDER_PERCENT: u64 = 25;
 
 /// Budget of a service for hedges and retries together.
 ///
@@ -45,9 +48,24 @@
 
     /// Counts a needed sub-request that is sent at `now`. Call it once per sub-request, not per attempt.
     pub fn earn(&mut self, now: ClockTime) {
+        self.add(now, 100);
+    }
+
+    /// Counts a sub-request that is forwarded to an owner. Sending it directly later earns nothing more.
+    pub fn earn_as_sender(&mut self, now: ClockTime) {
+        self.add(now, SENDER_PERCENT);
+    }
+
+    /// Counts a sub-request that the owner sends for another instance.
+    pub fn earn_as_owner(&mut self, now: ClockTime) {
+        self.add(now, 100 - SENDER_PERCENT);
+    }
+
+    fn add(&mut self, now: ClockTime, percent: u64) {
         self.advance(now);
-        self.current().earned += self.earned_per_request;
-        self.saved = self.saved.saturating_add(self.earned_per_request);
+        let earned = self.earned_per_request * percent / 100;
+        self.current().earned += earned;
+        self.saved = self.saved.saturating_add(earned);
     }
 
     /// Pays for one hedge or retry, or says that it must not be sent.
--- a/crates/anvilhub-coord/tests/retry_budget.rs
+++ b/crates/anvilhub-coord/tests/retry_budget.rs
@@ -93,3 +93,21 @@
     // Two sub-requests a second never earn a token within a second, yet 5 in 100 may be hedged.
     assert!((4..=5).contains(&paid), "{paid} hedges");
 }
+
+/// Guards against a forwarded sub-request that pays for hedges twice, at its sender and at its owner.
+#[test]
+fn forwarded_earns_once() {
+    let (mut sender, mut owner) = (RetryBudget::new(EXTRA_LOAD), RetryBudget::new(EXTRA_LOAD));
+    let mut spent = [0, 0];
+    for millis in 0..1_000 {
+        let now = ClockTime::from_millis(millis);
+        sender.earn_as_sender(now);
+        owner.earn_as_owner(now);
+        for (count, budget) in spent.iter_mut().zip([&mut sender, &mut owner]) {
+            *count += u32::from(budget.try_spend(now));
+        }
+    }
+    // A sub-request sent again needs a token, so a sender without any would wait for a lost owner for ever.
+    assert!(spent[0] >= 10, "{spent:?}");
+    assert!((40..=50).contains(&(spent[0] + spent[1])), "{spent:?}");
+}
--- a/crates/anvilhub-dev/src/bench/driver/attempts.rs
+++ b/crates/anvilhub-dev/src/bench/driver/attempts.rs
@@ -49,8 +49,12 @@
             sent: self.now,
             state: AttemptState::InFlight,
         });
-        if first {
-            entry.budget.earn(self.now);
+        let query_entry = self.queries[query].arrival.entry;
+        match self.queries[query].subs[shard].forwarded {
+            _ if !first => {}
+            true if handler == query_entry => {}
+            true => entry.budget.earn_as_owner(self.now),
+            false => entry.budget.earn(self.now),
         }
         self.tally.count_attempt(self.now, first);
         self.events.push(self.now + opening + hop, Event::Reach(id));
--- a/crates/anvilhubd/src/fanout/batch_call.rs
+++ b/crates/anvilhubd/src/fanout/batch_call.rs
@@ -1,11 +1,13 @@
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use anvilhub_coord::gather::MissingReason;
 use anvilhub_coord::routing::AttemptOutcome;
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use log::info;
 use metrics::counter;
 use tokio::sync::oneshot;
@@ -14,7 +16,7 @@
 use crate::context::EntryContext;
 use crate::peer::{BatchAnswer, BatchItem, BatchMessage, BatchOutcome, PeerApiClient};
 
-use super::{PieceEnd, SubOutcome, SubQuery, SubRun, after_hop};
+use super::{PieceEnd, SubOrigin, SubOutcome, SubQuery, SubRun, after_hop, ping_owner};
 
 /// How often a waiting call looks whether its owner still answers.
 const HEALTH_POLL: Duration = Duration::from_millis(10);
@@ -41,26 +43,50 @@
             () = self.silence() => {}
         }
         self.note_bypass("the owner is silent");
-        // The owner may be slow only, so sending its sub-requests again is extra load.
-        let now = self.context.clock.now();
-        let (paid, unpaid): (Vec<_>, Vec<_>) = self.queries.iter().cloned().partition(|query| {
+        self.run_bypassing(call).await
+    }
+
+    /// Sends the sub-requests of a silent owner directly, and takes the owner's answers for the rest if they come.
+    async fn run_bypassing(&self, mut call: oneshot::Receiver<CallEnd>) -> Vec<PieceEnd> {
+        let is_lost = AtomicBool::new(false);
+        let queries = self.queries.iter().cloned();
+        let mut direct: FuturesUnordered<_> = queries
+            .map(|query| self.run_paid(query, &is_lost))
+            .collect();
+        let mut ends: Vec<PieceEnd> = Vec::new();
+        loop {
+            tokio::select! {
+                end = &mut call, if !is_lost.load(Ordering::Relaxed) => match end {
+                    Ok(Ok(answer)) => {
+                        let rest = self.answered(answer).into_iter();
+                        let rest: Vec<_> = rest
+                            .filter(|end| ends.iter().all(|direct| direct.id != end.id))
+                            .collect();
+                        ends.extend(rest);
+                        return ends;
+                    }
+                    _ => is_lost.store(true, Ordering::Relaxed),
+                },
+                end = direct.next() => match end {
+                    Some(end) => ends.push(end),
+                    None => return ends,
+                },
+            }
+        }
+    }
+
+    /// Sends a sub-request directly once the budget pays for it: the owner may be slow only, and then it is extra
+    /// load. Once the owner's answer is lost for certain it is needed.
+    async fn run_paid(&self, query: SubQuery, is_lost: &AtomicBool) -> PieceEnd {
+        loop {
+            let now = self.context.clock.now();
+            let needed = is_lost.load(Ordering::Relaxed) || now >= query.body.deadline;
             let budget = &query.body.service.budget;
-            budget.with(|budget| budget.try_spend(now))
-        });
-        let mut direct = pin!(self.run_direct(paid));
-        let mut ends = tokio::select! {
-            end = &mut call => match end {
-                Ok(Ok(answer)) => return self.answered(answer),
-                _ => {
-                    let (mut ends, rest) = tokio::join!(direct, self.run_direct(unpaid));
-                    ends.extend(rest);
-                    return ends;
-                }
-            },
-            ends = &mut direct => ends,
-        };
-        ends.extend(self.await_rest(unpaid, call).await);
-        ends
+            if needed || budget.with(|budget| budget.try_spend(now)) {
+                return self.run_direct(query).await;
+            }
+            sleep(HEALTH_POLL).await;
+        }
     }
 
     /// Sends the batch. The call goes on when nobody waits for it any more, so that its end still says whether
@@ -83,6 +109,10 @@
         let patience = deadline.since(now) + CALL_SLACK;
         let (sender, receiver) = oneshot::channel();
         context.owners.update(owner, |health| health.sent(now));
+        for query in &self.queries {
+            let budget = &query.body.service.budget;
+            budget.with(|budget| budget.earn_as_sender(now));
+        }
         tokio::spawn(async move {
             let call = context.peers.call(owner, patience, |client| async move {
                 client.run_batch(batch).await
@@ -91,7 +121,7 @@
             let now = context.clock.now();
             context.owners.update(owner, |health| match result {
                 Ok(_) => health.heard(now, true),
-                Err(_) => health.given_up(now),
+                Err(_) => health.given_up(),
             });
             // The request may have ended meanwhile.
             let _ = sender.send(result);
@@ -103,7 +133,7 @@
     async fn silence(&self) {
         loop {
             sleep(HEALTH_POLL).await;
-            self.ping();
+            ping_owner(&self.context, self.owner);
             let now = self.context.clock.now();
             if self.context.owners.is_bypassed(self.owner, now) {
                 return;
@@ -111,76 +141,28 @@
         }
     }
 
-    fn ping(&self) {
-        let owner = self.owner;
-        if !self.context.owners.begin_ping(owner) {
-            return;
-        }
-        let context = Arc::clone(&self.context);
-        tokio::spawn(async move {
-            let patience = context.settings.peer_timeout;
-            let ping =
-                context
-                    .peers
-                    .call(owner, patience, |client| async move { client.ping().await });
-            let answered = ping.await.is_ok();
-            context.owners.end_ping(owner);
-            if answered {
-                let now = context.clock.now();
-                context
-                    .owners
-                    .update(owner, |health| health.heard(now, false));
-            }
-        });
-    }
-
     async fn ended(&self, end: Result<CallEnd, oneshot::error::RecvError>) -> Vec<PieceEnd> {
         match end {
             Ok(Ok(answer)) => self.answered(answer),
             Ok(Err(error)) => {
                 self.note_bypass(&error.to_string());
                 // The owner's answers are lost for certain, so these sub-requests are needed.
-                self.run_direct(self.queries.clone()).await
+                let queries = self.queries.iter().cloned();
+                join_all(queries.map(|query| self.run_direct(query))).await
             }
             Err(_) => self.end_all(MissingReason::Timeout, false),
         }
     }
 
-    async fn await_rest(
-        &self,
-        unpaid: Vec<SubQuery>,
-        call: oneshot::Receiver<CallEnd>,
-    ) -> Vec<PieceEnd> {
-        if unpaid.is_empty() {
-            return Vec::new();
+    async fn run_direct(&self, query: SubQuery) -> PieceEnd {
+        let (id, shard) = (query.id.clone(), Arc::clone(&query.shard));
+        let run = SubRun::new(Arc::clone(&self.context), query, SubOrigin::Resent);
+        let mut outcome = run.run().await;
+        // The owner got the sub-request before, and may have run it.
+        if outcome.outcome == AttemptOutcome::NotRun {
+            outcome.outcome = AttemptOutcome::Unknown;
         }
-        let is_unpaid = |end: &PieceEnd| unpaid.iter().any(|query| query.id == end.id);
-        match call.await {
-            Ok(Ok(answer)) => self
-                .answered(answer)
-                .into_iter()
-                .filter(is_unpaid)
-                .collect(),
-            Ok(Err(_)) => self.run_direct(unpaid).await,
-            Err(_) => self
-                .end_all(MissingReason::Timeout, false)
-                .into_iter()
-                .filter(is_unpaid)
-                .collect(),
-        }
-    }
-
-    async fn run_direct(&self, queries: Vec<SubQuery>) -> Vec<PieceEnd> {
-        let runs = queries.into_iter().map(|query| async {
-            let (id, shard) = (query.id.clone(), Arc::clone(&query.shard));
-            let mut outcome = SubRun::new(Arc::clone(&self.context), query).run().await;
-            // The owner got the sub-request before, and may have run it.
-            if outcome.outcome == AttemptOutcome::NotRun {
-                outcome.outcome = AttemptOutcome::Unknown;
-            }
-            PieceEnd { id, shard, outcome }
-        });
-        join_all(runs).await
+        PieceEnd { id, shard, outcome }
     }
 
     fn answered(&self, answer: BatchAnswer) -> Vec<PieceEnd> {
--- a/crates/anvilhubd/src/fanout/batch_run.rs
+++ b/crates/anvilhubd/src/fanout/batch_run.rs
@@ -9,7 +9,7 @@
 use crate::context::EntryContext;
 use crate::peer::{BatchAnswer, BatchItem, BatchMessage, BatchOutcome};
 
-use super::{QueryBody, SubQuery, SubRun, batch_time};
+use super::{QueryBody, SubOrigin, SubQuery, SubRun, batch_time};
 
 /// Runs sub-requests that another instance sent because this one owns their shards.
 ///
@@ -28,7 +28,8 @@
             not_run: true,
         };
     };
-    let outcome = SubRun::new(Arc::clone(context), query).run().await;
+    let run = SubRun::new(Arc::clone(context), query, SubOrigin::Received);
+    let outcome = run.run().await;
     match outcome.result {
         Ok(answer) => BatchOutcome::Answered(answer),
         Err(reason) => BatchOutcome::Missing {
--- a/crates/anvilhubd/src/fanout/owner_table.rs
+++ b/crates/anvilhubd/src/fanout/owner_table.rs
@@ -33,10 +33,12 @@
     }
 
     /// Says whether to ping the owner now: one ping is under way at a time.
-    pub(crate) fn begin_ping(&self, owner: SocketAddr) -> bool {
+    pub(crate) fn begin_ping(&self, owner: SocketAddr, now: ClockTime) -> bool {
         self.owners.with(|owners| {
             let state = owners.entry(owner).or_default();
-            !std::mem::replace(&mut state.is_pinged, true)
+            let begins = !state.is_pinged && state.health.begin_ping(now);
+            state.is_pinged |= begins;
+            begins
         })
     }
 
--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -18,7 +18,7 @@
 use crate::context::EntryContext;
 use crate::routes::{ShardRoute, UpstreamRoute};
 
-use super::{BatchCall, PieceEnd, QueryBody, SubQuery, SubRun};
+use super::{BatchCall, PieceEnd, QueryBody, SubOrigin, SubQuery, SubRun, ping_owner};
 
 /// What was gathered for a request.
 pub(super) struct GatheredRequest {
@@ -173,12 +173,16 @@
         }
         let owner = query.shard.owner()?;
         let now = self.context.clock.now();
-        (!self.context.owners.is_bypassed(owner, now)).then_some(owner)
+        if self.context.owners.is_bypassed(owner, now) {
+            ping_owner(&self.context, owner);
+            return None;
+        }
+        Some(owner)
     }
 
     fn start_direct(&self, query: SubQuery) {
         let (id, shard) = (query.id.clone(), Arc::clone(&query.shard));
-        let run = SubRun::new(Arc::clone(&self.context), query).run();
+        let run = SubRun::new(Arc::clone(&self.context), query, SubOrigin::Direct).run();
         let end = run.map(|outcome| vec![PieceEnd { id, shard, outcome }]);
         self.running.push(end.boxed());
     }
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -19,7 +19,7 @@
 use crate::pool::PoolError;
 use crate::routes::{SlotGuard, SlotRefusal, UpstreamRoute, states_held};
 
-use super::{AttemptEnd, SubAttempt, SubQuery};
+use super::{AttemptEnd, SubAttempt, SubOrigin, SubQuery};
 
 /// What became of a needed sub-request.
 pub(crate) struct SubOutcome {
@@ -33,6 +33,7 @@
 pub(crate) struct SubRun {
     context: Arc<EntryContext>,
     query: SubQuery,
+    origin: SubOrigin,
     rule: AttemptRule,
     tried: Vec<bool>,
     /// The upstream of each attempt, as an index of the candidates.
@@ -53,7 +54,7 @@
 }
 
 impl SubRun {
-    pub(crate) fn new(context: Arc<EntryContext>, query: SubQuery) -> Self {
+    pub(crate) fn new(context: Arc<EntryContext>, query: SubQuery, origin: SubOrigin) -> Self {
         let body = &query.body;
         let policy = body.service.spec.repeatability;
         Self {
@@ -68,6 +69,7 @@
             slot: None,
             context,
             query,
+            origin,
         }
     }
 
@@ -85,7 +87,7 @@
         let slot = self.wait_for_slot().await?;
         let now = self.context.clock.now();
         let budget = &self.query.body.service.budget;
-        budget.with(|budget| budget.earn(now));
+        budget.with(|budget| self.origin.earn(budget, now));
         // The views may have changed during the wait.
         let choice = self.choose(None)?;
         self.send(choice, None, Some(slot));
