Bind the peer server apart from its address, and cut entries from each other

Change: peer_bind_address, by default peer_address; a test tier with relays between its entries. Ruled out: rewriting addresses in the relay, which would have to understand the messages.

--- a/crates/anvilhub-coord/src/border/settings.rs
+++ b/crates/anvilhub-coord/src/border/settings.rs
@@ -114,6 +114,10 @@
 ///      "description": "IP address and port for other instances.",
 ///      "type": "string"
 ///    },
+///    "peer_bind_address": {
+///      "description": "IP address and port to listen on for other instances, when it is not `peer_address`.",
+///      "type": "string"
+///    },
 ///    "peer_timeout_ms": {
 ///      "type": "integer",
 ///      "format": "uint64",
@@ -192,6 +196,9 @@
     ///IP address and port for other instances.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub peer_address: ::std::option::Option<::std::string::String>,
+    ///IP address and port to listen on for other instances, when it is not `peer_address`.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub peer_bind_address: ::std::option::Option<::std::string::String>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub peer_timeout_ms: ::std::option::Option<u64>,
     ///Peer address of each instance to ask besides the listed ones.
@@ -235,6 +242,7 @@
             operator_address: Default::default(),
             pause_limit_ms: Default::default(),
             peer_address: Default::default(),
+            peer_bind_address: Default::default(),
             peer_timeout_ms: Default::default(),
             peers: Default::default(),
             platform_address: Default::default(),
--- a/crates/anvilhub-dev/src/process/test_tier.rs
+++ b/crates/anvilhub-dev/src/process/test_tier.rs
@@ -4,10 +4,11 @@
 use serde_json::{Map, Value};
 
 use super::{
-    EntryPlan, EntryProcess, LoopbackBlock, PlatformProcess, QueryCall, ScratchFolder, SheetPlan,
-    UpstreamsProcess,
+    EntryPlan, EntryProcess, LoopbackBlock, PlatformProcess, QueryCall, RelayProcess,
+    ScratchFolder, SheetPlan, UpstreamsProcess,
 };
 use crate::standin::platform::PlatformCommand;
+use crate::standin::relay::RelayMode;
 
 /// What a test tier consists of.
 #[derive(Clone, Debug)]
@@ -18,6 +19,8 @@
     pub entries: usize,
     /// Settings of every entry besides the addresses.
     pub settings: Map<String, Value>,
+    /// Whether entries reach each other through relays.
+    pub has_relays: bool,
 }
 
 impl Default for TierPlan {
@@ -26,6 +29,7 @@
             sheet: SheetPlan::default(),
             entries: 2,
             settings: Map::new(),
+            has_relays: false,
         }
     }
 }
@@ -39,6 +43,8 @@
     pub upstreams: UpstreamsProcess,
     /// The entries, which are ready.
     pub entries: Vec<EntryProcess>,
+    /// The relays in front of the entries' peer servers, if the plan has them.
+    pub relays: Vec<RelayProcess>,
     /// The sheet in force.
     pub sheet: SheetDocument,
     /// The source of further addresses.
@@ -61,9 +67,21 @@
         let file = scratch.write("upstreams.json", &text)?;
         let upstreams = UpstreamsProcess::start(&scratch, &block, &file)?;
         let mut plans = Vec::new();
+        let mut relays = Vec::new();
         for number in 1..=plan.entries {
             let mut entry = EntryPlan::new(&format!("entry-{number}"), &block)?;
             entry.settings = plan.settings.clone();
+            if plan.has_relays {
+                let bind_address = entry.peer_address;
+                let name = format!("relay-{number}");
+                let relay = RelayProcess::start(&scratch, &block, &name, bind_address)?;
+                entry.peer_address = relay.address;
+                let field = "peer_bind_address".to_owned();
+                entry
+                    .settings
+                    .insert(field, bind_address.to_string().into());
+                relays.push(relay);
+            }
             plans.push(entry);
         }
         let instances = instance_list(&sheet, &plans)?;
@@ -79,12 +97,23 @@
             platform,
             upstreams,
             entries,
+            relays,
             sheet,
             block,
             scratch,
         })
     }
 
+    /// Changes what happens to connections between entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a relay does not answer.
+    pub fn set_relays(&self, mode: RelayMode) -> Result<()> {
+        let mut relays = self.relays.iter();
+        relays.try_for_each(|relay| relay.set_mode(mode))
+    }
+
     /// Publishes the sheet with a higher version, and gives that version.
     ///
     /// # Errors
--- a/crates/anvilhub-dev/tests/matrix/answer_check.rs
+++ b/crates/anvilhub-dev/tests/matrix/answer_check.rs
@@ -17,6 +17,14 @@
     })
 }
 
+/// Starts a tier with two entries that reach each other through relays.
+pub fn start_relayed_tier() -> Result<TestTier> {
+    TestTier::start(&TierPlan {
+        has_relays: true,
+        ..TierPlan::default()
+    })
+}
+
 /// Sends a search through an entry, and checks its answer against the rows that the upstreams hold.
 pub fn search(tier: &TestTier, entry: usize) -> Result<QueryAnswer> {
     search_within(tier, entry, 10_000)
--- a/crates/anvilhub-dev/tests/matrix/at_most_once.rs
+++ b/crates/anvilhub-dev/tests/matrix/at_most_once.rs
@@ -6,10 +6,11 @@
 
 use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome};
 use anvilhub_dev::process::{ProcessSignal, QueryCall, TestTier, wait_until};
+use anvilhub_dev::standin::relay::RelayMode;
 use eyre::Result;
 use serde_json::json;
 
-use super::answer_check::{check_effects, start_tier};
+use super::answer_check::{check_effects, start_relayed_tier, start_tier};
 
 fn booking(tier: &TestTier, entry: usize) -> Result<QueryCall> {
     QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(address(tier, entry))
@@ -284,3 +285,27 @@
     assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
     Ok(())
 }
+
+/// A partition between the entries leaves the outcome unknown at the one that does not own the ticket.
+#[test]
+fn entry_partition() -> Result<()> {
+    let tier = start_relayed_tier()?;
+    let call = booking(&tier, 0)?;
+    let impatient = call.clone().with_deadline_ms(1_000);
+
+    tier.set_relays(RelayMode::Silent)?;
+    let (_, parted) = impatient.send(address(&tier, 1))?;
+    let (_, owned) = call.send(address(&tier, 0))?;
+    let (_, parted_again) = impatient.send(address(&tier, 1))?;
+    tier.set_relays(RelayMode::Pass)?;
+    wait_until("the recorded outcome through the other entry", || {
+        let (_, healed) = call.send(address(&tier, 1)).ok()?;
+        (healed.outcome == QueryOutcome::Done).then_some(())
+    })?;
+
+    assert_eq!(parted.outcome, QueryOutcome::Unknown);
+    assert_eq!(owned.outcome, QueryOutcome::Done);
+    assert_eq!(parted_again.outcome, QueryOutcome::Unknown);
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
+    Ok(())
+}
--- a/crates/anvilhubd/src/peer/peer_server.rs
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -33,7 +33,7 @@
 
     /// Listens on the peer address. The server stops when the handle is dropped.
     pub(crate) async fn start(self) -> Result<ServerHandle> {
-        let address = self.context.settings.peer_address;
+        let address = self.context.settings.peer_bind_address;
         let config = ServerConfig::builder()
             .max_request_body_size(MAX_MESSAGE_BYTES)
             .max_response_body_size(MAX_MESSAGE_BYTES)
@@ -43,7 +43,9 @@
             .set_config(config)
             .build(address)
             .await
-            .wrap_err_with(|| format!("cannot listen on peer_address {address}; is it in use?"))?;
+            .wrap_err_with(|| {
+                format!("cannot listen on peer_bind_address {address}; is it in use?")
+            })?;
         Ok(server.start(self.into_rpc()))
     }
 }
--- a/crates/anvilhubd/src/settings.rs
+++ b/crates/anvilhubd/src/settings.rs
@@ -24,8 +24,10 @@
     pub failure_domain: FailureDomain,
     /// Where callers connect.
     pub caller_address: SocketAddr,
-    /// Where other instances connect.
+    /// Where other instances connect, and what tickets name.
     pub peer_address: SocketAddr,
+    /// Where the peer server listens: `peer_address`, unless something in between translates addresses.
+    pub peer_bind_address: SocketAddr,
     /// Where operators connect.
     pub operator_address: SocketAddr,
     /// Where the platform's configuration service and instance list answer.
@@ -76,6 +78,7 @@
                 .expect("a constant identifier is valid"),
             caller_address: unset,
             peer_address: unset,
+            peer_bind_address: unset,
             operator_address: unset,
             platform_address: unset,
             peers: Vec::new(),
@@ -126,6 +129,10 @@
     /// Fails when a required field is absent or a value cannot be used.
     pub fn from_document(document: &SettingsDocument) -> Result<Self> {
         let defaults = Self::default();
+        let bind_address = document
+            .peer_bind_address
+            .as_ref()
+            .or(document.peer_address.as_ref());
         let settings = Self {
             instance: required(
                 &document.instance,
@@ -145,6 +152,11 @@
                 "\"127.0.0.1:7101\"",
             )?,
             peer_address: address(&document.peer_address, "peer_address", "\"127.0.0.1:7201\"")?,
+            peer_bind_address: address(
+                &bind_address.cloned(),
+                "peer_bind_address",
+                "\"127.0.0.1:7201\"",
+            )?,
             operator_address: address(
                 &document.operator_address,
                 "operator_address",
@@ -213,7 +225,7 @@
     fn check_distinct_addresses(&self) -> Result<()> {
         let addresses = [
             ("caller_address", self.caller_address),
-            ("peer_address", self.peer_address),
+            ("peer_bind_address", self.peer_bind_address),
             ("operator_address", self.operator_address),
             ("platform_address", self.platform_address),
         ];
