Place owners in the load tool by ShardOwner

Cause: the load tool placed owners by shard number modulo 8, which balances them perfectly and moves a lost entry's shards to its neighbour alone. The daemon uses rendezvous hashing, so the figures were not those of its placement.

--- a/crates/anvilhub-dev/src/bench/driver/mod.rs
+++ b/crates/anvilhub-dev/src/bench/driver/mod.rs
@@ -11,11 +11,12 @@
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 
+use super::fake_entry::domain_of;
 use super::fake_upstream::AttemptId;
 use super::scenario::RUN_TIME;
 use super::{
     Admitted, Arrival, Coordination, Desk, EventQueue, FakeEntry, FakeUpstream, LoadTally,
-    Scenario, Variant, Workload,
+    OwnerPlan, Scenario, Variant, Workload,
 };
 
 /// Entry instances of a deployment.
@@ -92,6 +93,9 @@
     workload: Workload,
     events: EventQueue<Event>,
     entries: Vec<FakeEntry>,
+    /// Owners by the list of all entries, and by the list without those that the scenario loses.
+    first_owners: OwnerPlan,
+    later_owners: OwnerPlan,
     upstreams: Vec<FakeUpstream>,
     domains: Vec<usize>,
     reports: Vec<u32>,
@@ -123,7 +127,10 @@
                 FakeUpstream::new(domain, desk.slots, desk.connections)
             })
             .collect();
+        let first_owners = OwnerPlan::new(&desk, 0..ENTRY_COUNT);
+        let is_kept = |entry: &usize| !scenario.is_lost(domain_of(*entry), RUN_TIME);
         Self {
+            later_owners: OwnerPlan::new(&desk, (0..ENTRY_COUNT).filter(is_kept)),
             desk,
             scenario,
             variant,
@@ -135,8 +142,9 @@
             },
             events: EventQueue::new(),
             entries: (0..ENTRY_COUNT)
-                .map(|rank| FakeEntry::new(rank, ENTRY_COUNT, &desk, variant, seed))
+                .map(|rank| FakeEntry::new(rank, ENTRY_COUNT, &desk, &first_owners, variant, seed))
                 .collect(),
+            first_owners,
             domains: upstreams.iter().map(|upstream| upstream.domain).collect(),
             reports: vec![0; upstreams.len()],
             upstreams,
--- a/crates/anvilhub-dev/src/bench/driver/queries.rs
+++ b/crates/anvilhub-dev/src/bench/driver/queries.rs
@@ -67,16 +67,12 @@
     }
 
     pub(super) fn owner_of(&self, shard: usize) -> usize {
-        let known = self.now - LIST_LAG;
-        let is_gone = |entry: usize| {
-            let domain = self.entries[entry].domain;
-            self.scenario.is_lost(domain, known.0 as f64 / 1e6)
-        };
-        let mut owner = shard % ENTRY_COUNT;
-        while is_gone(owner) {
-            owner = (owner + 1) % ENTRY_COUNT;
-        }
-        owner
+        let known = (self.now - LIST_LAG).0 as f64 / 1e6;
+        let owner = self.first_owners.owner(shard);
+        match self.scenario.is_lost(self.entries[owner].domain, known) {
+            true => self.later_owners.owner(shard),
+            false => owner,
+        }
     }
 
     pub(super) fn handler_of(&self, shard: usize, entry: usize) -> usize {
--- a/crates/anvilhub-dev/src/bench/fake_entry.rs
+++ b/crates/anvilhub-dev/src/bench/fake_entry.rs
@@ -13,12 +13,18 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{Coordination, Desk, Variant};
+use super::{Coordination, Desk, OwnerPlan, Variant};
 
 /// Sub-requests that may wait for the slots of one shard.
 const SLOT_QUEUE_CAPACITY: usize = 256;
 /// Least time that a sub-request needs: the round trip and a short service time.
 const LEAST_TIME: Duration = Duration::from_millis(6);
+
+/// Failure domain of the entry `rank`.
+pub(crate) fn domain_of(rank: usize) -> usize {
+    rank % 3
+}
+
 /// The decisions of one entry instance, as the daemon holds them.
 pub(crate) struct FakeEntry {
     pub(crate) domain: usize,
@@ -44,13 +50,14 @@
         rank: usize,
         entries: usize,
         desk: &Desk,
+        plan: &OwnerPlan,
         variant: Variant,
         seed: u64,
     ) -> Self {
         let count = desk.shards * desk.replicas;
         let share = ConnectionShare::new(entries as u32);
         let limit = ConnectionLimit(desk.connections);
-        let owned = |shard: usize| shard % entries == rank;
+        let owned = |shard: usize| plan.owner(shard) == rank;
         let connections = |shard: usize| match (variant.coordination, variant.baseline) {
             (_, true) => desk.connections,
             (Coordination::Owner, _) if owned(shard) => share.owner(limit, rank as u32),
@@ -66,7 +73,7 @@
         let slots: Vec<u32> = (0..desk.shards).map(slots).collect();
         let settings = AdmissionSettings::for_share(SlotCount(shard_slots), entries as u32);
         Self {
-            domain: rank % 3,
+            domain: domain_of(rank),
             gate: AdmissionGate::new(settings),
             queues: slots
                 .iter()
