Let owners use a slow replica while their queue is long

Change: SlotOverflow adds the slots of slow ejected replicas while more than 8 sub-requests per usable slot wait. The load tool uses it; the daemon does not yet.

--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -28,6 +28,7 @@
 mod sheet_fetch;
 mod sheet_fuzz;
 mod sheets;
+mod slot_overflow;
 mod slot_queue;
 mod ticket_search;
 mod ticket_table;
--- a/crates/anvilhub-dev/src/bench/fake_entry.rs
+++ b/crates/anvilhub-dev/src/bench/fake_entry.rs
@@ -6,7 +6,7 @@
 use anvilhub_coord::routing::{
     AttemptKind, EjectionCandidate, EjectionPolicy, HedgePolicy, LatencyWindow, OwnerHealth,
     PickError, ReplicaCandidate, ReplicaChoice, ReplicaPicker, RetryBudget, SlotAllowance,
-    SlotQueue, UpstreamView,
+    SlotOverflow, SlotQueue, UpstreamView,
 };
 use anvilhub_coord::sheet::{RepeatPolicy, RoutePolicy};
 use anvilhub_coord::time::ClockTime;
@@ -121,6 +121,11 @@
                 full: self.ledgers[upstream].is_full(),
             })
             .collect();
+        if kind.is_none()
+            && let Some(upstream) = self.overflow(now, shard)
+        {
+            return Ok(upstream);
+        }
         let ReplicaChoice { index, .. } =
             ReplicaPicker::default().pick(&candidates, kind, &mut self.rng)?;
         Ok(first + index)
@@ -202,11 +207,54 @@
             .count() as u32;
         let slots = SlotCount((self.slots[shard] * usable / self.replicas as u32).max(1));
         match self.owned[shard] {
+            true if usable > 0 => {
+                let waiting = self.queues[shard].waiting();
+                let (_, ejected) = self.slow_replicas(now, shard);
+                let allowed = SlotAllowance::default().of(slots, self.usual_latency(shard));
+                let extra = self
+                    .slot_overflow(shard)
+                    .extra_slots(waiting, slots, &ejected);
+                SlotCount(allowed.get() + extra)
+            }
             true => SlotAllowance::default().of(slots, self.usual_latency(shard)),
             false => slots,
         }
     }
 
+    /// The slow ejected replica that an owner uses because the others are busy.
+    fn overflow(&self, now: ClockTime, shard: usize) -> Option<usize> {
+        let first = shard * self.replicas;
+        let healthy: Vec<&UpstreamView> = self.views[first..first + self.replicas]
+            .iter()
+            .filter(|view| !view.is_ejected(now) && !view.is_on_trial(now))
+            .collect();
+        if !self.owned[shard] || healthy.is_empty() {
+            return None;
+        }
+        let busy = healthy.iter().map(|view| view.in_flight()).sum();
+        let slots = SlotCount(self.slots[shard] * healthy.len() as u32 / self.replicas as u32);
+        let allowed = SlotAllowance::default().of(slots, self.usual_latency(shard));
+        let (upstreams, in_flight) = self.slow_replicas(now, shard);
+        let overflow = self.slot_overflow(shard);
+        overflow
+            .pick(busy, allowed, &in_flight)
+            .map(|index| upstreams[index])
+    }
+
+    /// Ejected replicas without a failure since, and what is in flight at them.
+    fn slow_replicas(&self, now: ClockTime, shard: usize) -> (Vec<usize>, Vec<u32>) {
+        let first = shard * self.replicas;
+        (first..first + self.replicas)
+            .map(|upstream| (upstream, &self.views[upstream]))
+            .filter(|(_, view)| view.is_ejected(now) && view.failures() == 0)
+            .map(|(upstream, view)| (upstream, view.in_flight()))
+            .unzip()
+    }
+
+    fn slot_overflow(&self, shard: usize) -> SlotOverflow {
+        SlotOverflow::new(SlotCount(self.slots[shard] / self.replicas as u32))
+    }
+
     fn usual_latency(&self, shard: usize) -> Duration {
         let window = &self.windows[shard];
         window.quantile(0.5).unwrap_or_default()
