--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use crate::ids::{InstanceId, PlatformRevision, SheetDigest, UpstreamId};
+use crate::membership::StartSample;
 use crate::mutation;
 use crate::sheet::{AcceptedSheet, SheetStamp};
 use crate::time::ClockTime;
@@ -43,6 +44,8 @@
     /// Start of the instance or end of its last pause; answers to exchanges sent earlier prove nothing.
     pub(super) valid_from: ClockTime,
     confirmed: bool,
+    /// Whether the platform served the sheet in force since `valid_from`.
+    pub(super) served: bool,
     /// Highest sheet that a peer was seen to have in force.
     highest_seen: Option<SheetStamp>,
     pub(super) platform_down: bool,
@@ -70,6 +73,7 @@
             queried_at: None,
             valid_from: now,
             confirmed: false,
+            served: false,
             highest_seen: None,
             platform_down: false,
             last_read: None,
@@ -165,13 +169,10 @@
         actions.push(SheetAction::Announce);
     }
 
-    pub(super) fn confirm(&mut self) {
-        self.confirmed = true;
-    }
-
     fn list_peers(&mut self, now: ClockTime, mut listed: BTreeSet<InstanceId>) {
         listed.remove(&self.identity.instance);
-        self.peers.set_listed(listed, now);
+        let sample = StartSample::new(self.settings.sample, &self.identity.instance, &listed);
+        self.peers.set_listed(listed, sample, now);
     }
 
     fn hear(&mut self, now: ClockTime, message: &ExchangeMessage, sent_at: Option<ClockTime>) {
@@ -199,6 +200,7 @@
         }
         self.valid_from = now;
         self.confirmed = false;
+        self.served = false;
         self.queried_at = None;
         self.fetch = None;
         self.peers.forget_contacts();
@@ -218,7 +220,8 @@
         self.update_alarms(actions);
     }
 
-    /// Says whether every listed peer has answered, is absent, or is no longer waited for.
+    /// Says whether every listed peer, or enough of them in a large fleet, has answered or is absent, or is no
+    /// longer waited for.
     fn has_asked_peers(&self, now: ClockTime) -> bool {
         let isolated = self.settings.isolated_start_after;
         self.peers.is_resolved()
@@ -270,11 +273,18 @@
             self.learned = true;
             self.confirmed = true;
         }
-        if self.learned && self.peers.has_ready_answer() {
+        if self.learned && (self.peers.has_ready_answer() || self.is_served_alone()) {
             self.confirmed = true;
         }
     }
 
+    /// Says whether the platform serves the sheet in force and no peer can tell of a newer one: those that were
+    /// asked do not answer. The platform may be stale, so peers are asked first.
+    fn is_served_alone(&self) -> bool {
+        let asked = self.peers.to_ask(CONFIRMATION_QUERIES);
+        self.served && asked.iter().all(|peer| self.peers.is_silent(peer))
+    }
+
     fn query_peers(&mut self, now: ClockTime, actions: &mut Vec<SheetAction>) {
         if self.is_ready() {
             return;
@@ -285,14 +295,16 @@
         if !is_due {
             return;
         }
-        let mut peers = self.peers.unresolved();
-        if self.learned {
-            peers.truncate(CONFIRMATION_QUERIES);
-        }
+        let limit = match self.learned {
+            true => CONFIRMATION_QUERIES,
+            false => usize::MAX,
+        };
+        let peers = self.peers.to_ask(limit);
         if peers.is_empty() {
             return;
         }
         self.queried_at = Some(now);
+        self.peers.count_query();
         actions.push(SheetAction::Query { peers });
     }
 
@@ -330,6 +342,9 @@
         );
         if !self.is_ready() {
             alarms.extend(self.peers.silent().cloned().map(SheetAlarm::PeerSilent));
+            if self.peers.is_fleet_silent() {
+                alarms.insert(SheetAlarm::FleetSilent);
+            }
             if !self.peers.has_list() {
                 alarms.insert(SheetAlarm::ListUnknown);
             }
--- a/crates/anvilhub-dev/tests/matrix/at_most_once.rs
+++ b/crates/anvilhub-dev/tests/matrix/at_most_once.rs
@@ -6,10 +6,11 @@
 
 use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome};
 use anvilhub_dev::process::{ProcessSignal, QueryCall, TestTier, wait_until};
+use anvilhub_dev::standin::relay::RelayMode;
 use eyre::Result;
 use serde_json::json;
 
-use super::answer_check::{check_effects, start_tier};
+use super::answer_check::{check_effects, start_relayed_tier, start_tier};
 
 fn booking(tier: &TestTier, entry: usize) -> Result<QueryCall> {
     QueryCall::booking("dispatch", "dispatcher")?.ticketed_by(address(tier, entry))
@@ -161,35 +162,73 @@
 #[test]
 fn resent_request() -> Result<()> {
     let tier = start_tier(json!({}))?;
-    let replicas = |action: &str| {
-        tier.upstreams
-            .command(json!({ "service": "dispatch", "do": [{ "action": action }] }))
-    };
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "set": { "service_us": 2_000_000 } }))?;
     let call = booking(&tier, 0)?;
-    let idle = in_flight(&tier)?;
-
-    // Frozen replicas hold the booking until its resends have arrived too.
-    replicas("freeze")?;
     let mut calls = vec![send_aside(&call, address(&tier, 0))];
-    wait_until("the booking", || {
-        (in_flight(&tier).ok()? > idle).then_some(())
-    })?;
+    wait_until("the booking", || (received(&tier).ok()? == 1).then_some(()))?;
+
+    // Frozen replicas hold the booking until its resend has arrived.
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "do": [{ "action": "freeze" }] }))?;
     let running = in_flight(&tier)?;
     calls.push(send_aside(&call, address(&tier, 0)));
     wait_until("the resend", || {
         (in_flight(&tier).ok()? > running).then_some(())
     })?;
-    replicas("thaw")?;
+    tier.upstreams
+        .command(json!({ "service": "dispatch", "do": [{ "action": "thaw" }] }))?;
     calls.push(send_aside(&call, address(&tier, 1)));
 
     for call in calls {
         let (_, answer) = call.join().expect("the call ends")?;
         assert_eq!(answer.outcome, QueryOutcome::Done);
     }
+    assert_eq!(received(&tier)?, 1, "a resend was sent to an upstream");
     assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
     Ok(())
 }
 
+#[test]
+fn shared_ticket() -> Result<()> {
+    let tier = start_tier(json!({}))?;
+    let call = booking(&tier, 0)?;
+    let mut other = call.clone();
+    other.request.query = "another booking".to_owned();
+
+    let (_, first) = call.send(address(&tier, 0))?;
+    for entry in [0, 1] {
+        let (_, answer) = other.send(address(&tier, entry))?;
+        assert_ne!(answer.outcome, QueryOutcome::Done, "{answer:?}");
+    }
+
+    assert_eq!(first.outcome, QueryOutcome::Done);
+    assert_eq!(tier.upstreams.effects_of("another booking")?, 0);
+    Ok(())
+}
+
+#[test]
+fn expired_ticket() -> Result<()> {
+    let lifetime_ms = 200;
+    let tier = start_tier(json!({ "ticket_lifetime_ms": lifetime_ms }))?;
+    let call = booking(&tier, 0)?;
+    thread::sleep(Duration::from_millis(2 * lifetime_ms));
+
+    for entry in [0, 1] {
+        let (_, answer) = call.send(address(&tier, entry))?;
+        assert_ne!(answer.outcome, QueryOutcome::Done, "{answer:?}");
+    }
+
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 0);
+    Ok(())
+}
+
+/// Sub-requests that arrived at any upstream.
+fn received(tier: &TestTier) -> Result<u64> {
+    let counts = tier.upstreams.counts()?;
+    Ok(counts.values().map(|counts| counts.received).sum())
+}
+
 /// Requests that the first entry works on.
 fn in_flight(tier: &TestTier) -> Result<u64> {
     let state = tier.entries[0].state()?;
@@ -246,3 +285,27 @@
     assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
     Ok(())
 }
+
+/// A partition between the entries leaves the outcome unknown at the one that does not own the ticket.
+#[test]
+fn entry_partition() -> Result<()> {
+    let tier = start_relayed_tier()?;
+    let call = booking(&tier, 0)?;
+    let impatient = call.clone().with_deadline_ms(1_000);
+
+    tier.set_relays(RelayMode::Silent)?;
+    let (_, parted) = impatient.send(address(&tier, 1))?;
+    let (_, owned) = call.send(address(&tier, 0))?;
+    let (_, parted_again) = impatient.send(address(&tier, 1))?;
+    tier.set_relays(RelayMode::Pass)?;
+    wait_until("the recorded outcome through the other entry", || {
+        let (_, healed) = call.send(address(&tier, 1)).ok()?;
+        (healed.outcome == QueryOutcome::Done).then_some(())
+    })?;
+
+    assert_eq!(parted.outcome, QueryOutcome::Unknown);
+    assert_eq!(owned.outcome, QueryOutcome::Done);
+    assert_eq!(parted_again.outcome, QueryOutcome::Unknown);
+    assert_eq!(tier.upstreams.effects_of(&call.request.query)?, 1);
+    Ok(())
+}
--- a/crates/anvilhub-dev/tests/matrix/config_in_force.rs
+++ b/crates/anvilhub-dev/tests/matrix/config_in_force.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use anvilhub_coord::ids::PlatformRevision;
-use anvilhub_dev::process::{EntryProcess, ProcessSignal, TestTier, wait_until};
+use anvilhub_dev::process::{EntryProcess, ProcessSignal, QueryCall, TestTier, wait_until};
 use anvilhub_dev::standin::platform::{DownMode, PlatformCommand};
+use anvilhub_dev::standin::relay::RelayMode;
 use eyre::Result;
 use serde_json::json;
 
-use super::answer_check::{is_complete, search, start_tier};
+use super::answer_check::{is_complete, search, start_relayed_tier, start_tier};
 
 /// Looks at an instance that must not become ready, and the pause between them. Correct code stays unready for
 /// as long as it takes, so their number decides nothing for it.
@@ -18,6 +19,9 @@
 /// Calls after the return of the platform: two entries read the sheet and the list, and watch both.
 const READS_AFTER_RETURN: u64 = 8;
 
+/// Gap above which an instance of a test takes itself for paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(300);
+
 fn wait_version(entry: &EntryProcess, version: u64) -> Result<()> {
     wait_until("the new sheet in force", || {
         (entry.sheet_version() == Some(version)).then_some(())
@@ -25,25 +29,31 @@
 }
 
 /// Kills the second entry, and starts it again without anything it knew.
-fn restart_second(tier: &mut TestTier) -> Result<()> {
+pub(super) fn restart_second(tier: &mut TestTier) -> Result<()> {
     tier.entries[1].child.kill()?;
-    let mut entry = tier.entries[1]
+    start_again(tier, 1)
+}
+
+/// Starts an entry that was killed, and waits until it is ready.
+pub(super) fn start_again(tier: &mut TestTier, number: usize) -> Result<()> {
+    let mut entry = tier.entries[number]
         .plan
         .start(&tier.scratch, tier.platform.address)?;
     entry.wait_ready()?;
-    tier.entries[1] = entry;
+    tier.entries[number] = entry;
     Ok(())
 }
 
 /// Lets the platform go back to the first sheet.
-fn serve_first_sheet(tier: &TestTier) -> Result<()> {
+pub(super) fn serve_first_sheet(tier: &TestTier) -> Result<()> {
     tier.platform.control(&PlatformCommand {
         serve_sheet_revision: Some(PlatformRevision(1)),
         ..PlatformCommand::default()
     })
 }
 
-fn publish_everywhere(tier: &mut TestTier) -> Result<u64> {
+/// Publishes the sheet with a higher version, and waits until all entries have it in force.
+pub(super) fn publish_everywhere(tier: &mut TestTier) -> Result<u64> {
     let version = tier.publish_next_sheet()?;
     for entry in &tier.entries {
         wait_version(entry, version)?;
@@ -129,3 +139,53 @@
 
     wait_version(&tier.entries[1], version)
 }
+
+/// A request that waits for a paused instance must not be served by the sheet that the instance remembers, even
+/// when a stale platform serves that sheet as well.
+#[test]
+fn paused_request() -> Result<()> {
+    let settings = json!({ "pause_limit_ms": PAUSE_LIMIT.as_millis() as u64 });
+    let mut tier = start_tier(settings)?;
+    let paused = tier.entries[1].plan.caller_address;
+    tier.entries[1].child.pause()?;
+    for service in &mut tier.sheet.services {
+        service.callers = vec!["successor".parse()?];
+    }
+    let version = tier.publish_next_sheet()?;
+    wait_version(&tier.entries[0], version)?;
+    serve_first_sheet(&tier)?;
+
+    let call = QueryCall::search("stock", "foreman")?;
+    let waiting = thread::spawn(move || call.send(paused));
+    thread::sleep(2 * PAUSE_LIMIT);
+    tier.entries[1].child.signal(ProcessSignal::Continue)?;
+    let (status, answer) = waiting.join().expect("the call ends")?;
+    wait_version(&tier.entries[1], version)?;
+
+    assert_eq!(status, 403, "{answer:?}");
+    Ok(())
+}
+
+/// A starting entry that cannot reach its peer must not take an older sheet from the platform.
+#[test]
+fn entry_partition() -> Result<()> {
+    let mut tier = start_relayed_tier()?;
+    let version = publish_everywhere(&mut tier)?;
+    serve_first_sheet(&tier)?;
+
+    tier.entries[1].child.kill()?;
+    tier.set_relays(RelayMode::Silent)?;
+    let mut entry = tier.entries[1]
+        .plan
+        .start(&tier.scratch, tier.platform.address)?;
+    for _ in 0..LOOKS {
+        assert!(!entry.is_ready(), "ready without its peer's word");
+        assert_ne!(entry.sheet_version(), Some(1), "an older sheet came back");
+        thread::sleep(LOOK_PAUSE);
+    }
+    tier.set_relays(RelayMode::Pass)?;
+    entry.wait_ready()?;
+
+    assert_eq!(entry.sheet_version(), Some(version));
+    Ok(())
+}
--- a/crates/anvilhubd/src/controllers/upstream_controller.rs
+++ b/crates/anvilhubd/src/controllers/upstream_controller.rs
@@ -19,7 +19,7 @@
 use crate::context::EntryContext;
 use crate::pool::{LinkPlan, PoolError};
 use crate::routes::leaving_news;
-use crate::routes::{RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
+use crate::routes::{EntryDivision, RouteTable, ServiceRoute, ShardRoute, UpstreamRoute};
 
 use super::controller_thread;
 
@@ -45,7 +45,7 @@
     runtime: Handle,
     polls: Arc<Semaphore>,
     /// Division, instance list and sheet that the routes follow.
-    divided: Option<(usize, Option<PlatformRevision>, SheetDigest)>,
+    divided: Option<(Arc<EntryDivision>, Option<PlatformRevision>, SheetDigest)>,
 }
 
 impl UpstreamController {
@@ -81,13 +81,12 @@
             self.advance(service, now);
             for shard in &service.shards {
                 for upstream in &shard.replicas {
-                    let owned = self.is_sender(service, shard);
                     plans.insert(
                         upstream.spec.address,
                         self.link_plan(service, shard, upstream),
                     );
                     silence.insert(upstream.spec.address, silence_limit(upstream));
-                    if owned {
+                    if self.needs_reports(service, shard, upstream) {
                         self.poll(upstream, now);
                     }
                 }
@@ -104,11 +103,14 @@
         let list = self.context.instances.load_full();
         let division = self.context.division.load_full();
         let revision = list.as_ref().map(|list| list.revision);
-        let state = Some((Arc::as_ptr(&division) as usize, revision, routes.digest));
-        if self.divided == state {
+        let is_same = self.divided.as_ref().is_some_and(|(known, list, sheet)| {
+            Arc::ptr_eq(known, &division) && *list == revision && *sheet == routes.digest
+        });
+        if is_same {
             return;
         }
-        self.divided = state;
+        self.divided = Some((Arc::clone(&division), revision, routes.digest));
+        self.context.owners.retain(|owner| division.has_peer(owner));
         if let Some(list) = list {
             leaving_news::follow_list(routes, &list, self.context.clock.now());
         }
@@ -151,6 +153,18 @@
         service.spec.route.mode == RouteMode::Direct || shard.owner().is_none()
     }
 
+    /// Says whether this instance asks the upstream for its load. Besides the usual sender, every instance sends
+    /// ticketed requests, so each has to learn from reports that another process took a leaving upstream's place.
+    fn needs_reports(
+        &self,
+        service: &ServiceRoute,
+        shard: &ShardRoute,
+        upstream: &UpstreamRoute,
+    ) -> bool {
+        let is_ticketed = service.spec.repeatability == RepeatPolicy::NonIdempotent;
+        self.is_sender(service, shard) || (is_ticketed && upstream.leaving().is_some())
+    }
+
     /// Sub-requests that this instance keeps at the shard's replicas: enough for all slots of a shard that it
     /// owns, its share of others.
     fn share_of(&self, service: &ServiceRoute, shard: &ShardRoute, usable: SlotCount) -> SlotCount {
