--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -29,6 +29,7 @@
 mod sheet_fetch;
 mod sheet_fuzz;
 mod sheets;
+mod slot_overflow;
 mod slot_queue;
 mod start_sample;
 mod ticket_search;
--- a/crates/anvilhub-dev/src/bench/fake_entry.rs
+++ b/crates/anvilhub-dev/src/bench/fake_entry.rs
@@ -6,19 +6,25 @@
 use anvilhub_coord::routing::{
     AttemptKind, EjectionCandidate, EjectionPolicy, HedgePolicy, LatencyWindow, OwnerHealth,
     PickError, ReplicaCandidate, ReplicaChoice, ReplicaPicker, RetryBudget, SlotAllowance,
-    SlotQueue, UpstreamView,
+    SlotOverflow, SlotQueue, UpstreamView,
 };
 use anvilhub_coord::sheet::{RepeatPolicy, RoutePolicy};
 use anvilhub_coord::time::ClockTime;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{Coordination, Desk, Variant};
+use super::{Coordination, Desk, OwnerPlan, Variant};
 
 /// Sub-requests that may wait for the slots of one shard.
 const SLOT_QUEUE_CAPACITY: usize = 256;
 /// Least time that a sub-request needs: the round trip and a short service time.
 const LEAST_TIME: Duration = Duration::from_millis(6);
+
+/// Failure domain of the entry `rank`.
+pub(crate) fn domain_of(rank: usize) -> usize {
+    rank % 3
+}
+
 /// The decisions of one entry instance, as the daemon holds them.
 pub(crate) struct FakeEntry {
     pub(crate) domain: usize,
@@ -44,13 +50,14 @@
         rank: usize,
         entries: usize,
         desk: &Desk,
+        plan: &OwnerPlan,
         variant: Variant,
         seed: u64,
     ) -> Self {
         let count = desk.shards * desk.replicas;
         let share = ConnectionShare::new(entries as u32);
         let limit = ConnectionLimit(desk.connections);
-        let owned = |shard: usize| shard % entries == rank;
+        let owned = |shard: usize| plan.owner(shard) == rank;
         let connections = |shard: usize| match (variant.coordination, variant.baseline) {
             (_, true) => desk.connections,
             (Coordination::Owner, _) if owned(shard) => share.owner(limit, rank as u32),
@@ -66,7 +73,7 @@
         let slots: Vec<u32> = (0..desk.shards).map(slots).collect();
         let settings = AdmissionSettings::for_share(SlotCount(shard_slots), entries as u32);
         Self {
-            domain: rank % 3,
+            domain: domain_of(rank),
             gate: AdmissionGate::new(settings),
             queues: slots
                 .iter()
@@ -114,6 +121,11 @@
                 full: self.ledgers[upstream].is_full(),
             })
             .collect();
+        if kind.is_none()
+            && let Some(upstream) = self.overflow(now, shard)
+        {
+            return Ok(upstream);
+        }
         let ReplicaChoice { index, .. } =
             ReplicaPicker::default().pick(&candidates, kind, &mut self.rng)?;
         Ok(first + index)
@@ -195,11 +207,54 @@
             .count() as u32;
         let slots = SlotCount((self.slots[shard] * usable / self.replicas as u32).max(1));
         match self.owned[shard] {
+            true if usable > 0 => {
+                let waiting = self.queues[shard].waiting();
+                let (_, ejected) = self.slow_replicas(now, shard);
+                let allowed = SlotAllowance::default().of(slots, self.usual_latency(shard));
+                let extra = self
+                    .slot_overflow(shard)
+                    .extra_slots(waiting, slots, &ejected);
+                SlotCount(allowed.get() + extra)
+            }
             true => SlotAllowance::default().of(slots, self.usual_latency(shard)),
             false => slots,
         }
     }
 
+    /// The slow ejected replica that an owner uses because the others are busy.
+    fn overflow(&self, now: ClockTime, shard: usize) -> Option<usize> {
+        let first = shard * self.replicas;
+        let healthy: Vec<&UpstreamView> = self.views[first..first + self.replicas]
+            .iter()
+            .filter(|view| !view.is_ejected(now) && !view.is_on_trial(now))
+            .collect();
+        if !self.owned[shard] || healthy.is_empty() {
+            return None;
+        }
+        let busy = healthy.iter().map(|view| view.in_flight()).sum();
+        let slots = SlotCount(self.slots[shard] * healthy.len() as u32 / self.replicas as u32);
+        let allowed = SlotAllowance::default().of(slots, self.usual_latency(shard));
+        let (upstreams, in_flight) = self.slow_replicas(now, shard);
+        let overflow = self.slot_overflow(shard);
+        overflow
+            .pick(busy, allowed, &in_flight)
+            .map(|index| upstreams[index])
+    }
+
+    /// Ejected replicas without a failure since, and what is in flight at them.
+    fn slow_replicas(&self, now: ClockTime, shard: usize) -> (Vec<usize>, Vec<u32>) {
+        let first = shard * self.replicas;
+        (first..first + self.replicas)
+            .map(|upstream| (upstream, &self.views[upstream]))
+            .filter(|(_, view)| view.is_ejected(now) && view.failures() == 0)
+            .map(|(upstream, view)| (upstream, view.in_flight()))
+            .unzip()
+    }
+
+    fn slot_overflow(&self, shard: usize) -> SlotOverflow {
+        SlotOverflow::new(SlotCount(self.slots[shard] / self.replicas as u32))
+    }
+
     fn usual_latency(&self, shard: usize) -> Duration {
         let window = &self.windows[shard];
         window.quantile(0.5).unwrap_or_default()
