--- a/crates/anvilhub-coord/src/admission/admission_gate.rs
+++ b/crates/anvilhub-coord/src/admission/admission_gate.rs
@@ -174,7 +174,7 @@
             }
         };
         // Only finished requests change the estimate, so while none runs one is let in whatever it says:
-        // otherwise it would refuse for ever after a slow time.
+        // otherwise it would refuse forever after a slow time.
         let expected = match self.running {
             0 => Duration::ZERO,
             _ => estimated_wait + self.wait.usual_service(urgency),
--- a/crates/anvilhub-coord/src/border/settings.rs
+++ b/crates/anvilhub-coord/src/border/settings.rs
@@ -51,7 +51,7 @@
 ///      "minimum": 0.0
 ///    },
 ///    "drain_grace_ms": {
-///      "description": "How long the balancer may go on sending requests after readiness is withdrawn.",
+///      "description": "How long the balancer may continue to send requests after readiness is withdrawn.",
 ///      "type": "integer",
 ///      "format": "uint64",
 ///      "minimum": 0.0
@@ -164,7 +164,7 @@
     pub caller_address: ::std::option::Option<::std::string::String>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub connect_timeout_ms: ::std::option::Option<u64>,
-    ///How long the balancer may go on sending requests after readiness is withdrawn.
+    ///How long the balancer may continue to send requests after readiness is withdrawn.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub drain_grace_ms: ::std::option::Option<u64>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
--- a/crates/anvilhub-coord/src/membership/start_sample.rs
+++ b/crates/anvilhub-coord/src/membership/start_sample.rs
@@ -33,7 +33,7 @@
 /// Whether enough peers answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SampleVerdict {
-    /// The instance may go on.
+    /// The instance may continue.
     Enough,
     /// These peers have to be asked, those that were silent last.
     Ask(Vec<InstanceId>),
--- a/crates/anvilhub-coord/src/routing/upstream_view.rs
+++ b/crates/anvilhub-coord/src/routing/upstream_view.rs
@@ -15,7 +15,7 @@
 /// Highest load that reports may add, in sub-requests. Reports can be false, so own evidence outweighs them.
 const MOST_REPORTED: f64 = 4.0;
 /// Time after the last leaving signal before reports to the contrary are believed. Longer than reports lag and
-/// than an upstream usually drains; without it, an upstream that restarts unseen would stay unused for ever.
+/// than an upstream usually drains; without it, an upstream that restarts unseen would stay unused forever.
 const LEAVING_MEMORY: Duration = Duration::from_secs(120);
 /// First ejection; each further one within `EJECTION_MEMORY` doubles it.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
--- a/crates/anvilhub-coord/tests/retry_budget.rs
+++ b/crates/anvilhub-coord/tests/retry_budget.rs
@@ -107,7 +107,7 @@
             *count += u32::from(budget.try_spend(now));
         }
     }
-    // A sub-request sent again needs a token, so a sender without any would wait for a lost owner for ever.
+    // A sub-request sent again needs a token, so a sender without any would wait for a lost owner forever.
     assert!(spent[0] >= 10, "{spent:?}");
     assert!((40..=50).contains(&(spent[0] + spent[1])), "{spent:?}");
 }
--- a/crates/anvilhub-coord/tests/start_sample.rs
+++ b/crates/anvilhub-coord/tests/start_sample.rs
@@ -1,4 +1,4 @@
-//! Guards against a start in a large fleet that waits for ever for silent peers, asks too many, or brings an old
+//! Guards against a start in a large fleet that waits forever for silent peers, asks too many, or brings an old
 //! sheet back.
 
 use std::cell::RefCell;
--- a/crates/anvilhub-dev/src/process/process_signal.rs
+++ b/crates/anvilhub-dev/src/process/process_signal.rs
@@ -9,7 +9,7 @@
     Kill,
     /// Pauses the process.
     Stop,
-    /// Lets a paused process go on.
+    /// Lets a paused process continue.
     Continue,
 }
 
--- a/crates/anvilhub-dev/src/standin/upstream/work_run.rs
+++ b/crates/anvilhub-dev/src/standin/upstream/work_run.rs
@@ -10,7 +10,7 @@
 use super::replica_state::AdmittedWork;
 use super::{AnswerFault, FaultKind};
 
-/// The work on one sub-request. It goes on when its connection closes.
+/// The work on one sub-request. It continues when its connection closes.
 pub(crate) struct WorkRun {
     server: Arc<ReplicaServer>,
     request: SubRequest,
--- a/crates/anvilhub-dev/tests/matrix/leaving_upstream.rs
+++ b/crates/anvilhub-dev/tests/matrix/leaving_upstream.rs
@@ -40,7 +40,7 @@
     Ok(())
 }
 
-/// Lets an upstream announce its end, in answers alone: its load report goes on denying it.
+/// Lets an upstream announce its end, in answers alone: its load report continues to deny it.
 pub(super) fn announce(tier: &TestTier, upstream: &str) -> Result<()> {
     tier.upstreams.command(json!({
         "upstream": upstream,
--- a/crates/anvilhubd/src/context.rs
+++ b/crates/anvilhubd/src/context.rs
@@ -13,6 +13,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use log::warn;
 use metrics::counter;
+use tokio::sync::Semaphore;
 
 use crate::DaemonSettings;
 use crate::clock::DaemonClock;
@@ -23,7 +24,6 @@
 use crate::pool::UpstreamPool;
 use crate::routes::{EntryDivision, RouteStore, RouteTable, leaving_news};
 use crate::tickets::{TicketService, random_number};
-use tokio::sync::Semaphore;
 
 /// Cancellations on their way to upstreams at once; more are left out.
 const MOST_CANCELS: usize = 64;
@@ -41,11 +41,11 @@
     pub(crate) pool: UpstreamPool,
     pub(crate) peers: PeerClients,
     pub(crate) tickets: Arc<TicketService>,
-    members: Mutex<MemberTable>,
     pub(crate) route_store: RouteStore,
     pub(crate) owners: OwnerTable,
     pub(crate) sub_ids: SubRequestIds,
     pub(crate) cancels: Semaphore,
+    members: Mutex<MemberTable>,
     requests: AtomicUsize,
 }
 
@@ -167,7 +167,7 @@
         self.stage.get() == LifecycleStage::Draining
     }
 
-    /// Notes that the process was paused: nothing believed before it is used until it is confirmed again.
+    /// Notes that the process was paused: earlier knowledge is not used until it is confirmed again.
     pub(crate) fn note_pause(&self, pause: Duration) {
         warn!(pause_ms = pause.as_millis() as u64; "the process was paused; confirming its state again");
         counter!("anvilhub_pauses_total").increment(1);
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, bounded, select};
+use crossbeam::channel::{Receiver, Sender, bounded, select};
 use eyre::{Result, WrapErr};
 use log::info;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -19,7 +19,7 @@
     ConfigController, HeartbeatController, MemberController, PeerExchange, PlatformWatcher,
     UpstreamController,
 };
-use crate::lifecycle::{Draining, InstanceLifecycle, Ready};
+use crate::lifecycle::{InstanceLifecycle, Ready};
 use crate::logging;
 use crate::operator::OperatorServer;
 use crate::peer::PeerServer;
@@ -86,12 +86,13 @@
         .wrap_err_with(|| format!("cannot listen on caller_address {address}; is it in use?"))
 }
 
-fn forward_signals(drain: crossbeam::channel::Sender<()>) -> Result<()> {
+fn forward_signals(drain: Sender<()>) -> Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("cannot handle signals")?;
     std::thread::Builder::new()
         .name("signals".to_owned())
         .spawn(move || {
             for _ in signals.forever() {
+                // A full channel means that a drain is under way.
                 let _ = drain.try_send(());
             }
         })
@@ -111,15 +112,15 @@
     let _ = drain.recv();
     let lifecycle = lifecycle.drain();
     info!(instance:% = context.settings.instance; "draining");
-    wait_for_requests(context, &lifecycle);
+    wait_for_requests(context);
     let _ = stop_sender.send(true);
     let _ = runtime.block_on(serving);
     lifecycle.stop();
     info!(instance:% = context.settings.instance; "stopped");
 }
 
-/// Serves on for the balancer's lag, and then until no request is in flight.
-fn wait_for_requests(context: &EntryContext, _draining: &InstanceLifecycle<Draining>) {
+/// Continues to serve for the balancer's lag, and then until no request is in flight.
+fn wait_for_requests(context: &EntryContext) {
     context.tickets.drain();
     std::thread::sleep(context.settings.drain_grace);
     while context.requests_in_flight() > 0 || owned_tickets(context) > 0 {
--- a/crates/anvilhubd/src/fanout/batch_call.rs
+++ b/crates/anvilhubd/src/fanout/batch_call.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Sends the batch. The call goes on when nobody waits for it any more, so that its end still says whether
+    /// Sends the batch. The call continues when nobody waits for it any more, so that its end still says whether
     /// the owner answers.
     fn start(&self) -> Option<oneshot::Receiver<CallEnd>> {
         let now = self.context.clock.now();
--- a/crates/anvilhubd/src/routes/leaving_news.rs
+++ b/crates/anvilhubd/src/routes/leaving_news.rs
@@ -33,7 +33,7 @@
 }
 
 /// Upstreams that told this instance themselves that they are leaving. What a peer told is not passed on, or
-/// instances would confirm each other for ever.
+/// instances would confirm each other forever.
 pub(crate) fn direct(routes: &RouteTable) -> Vec<UpstreamId> {
     let is_direct =
         |signal: LeavingSignal| matches!(signal, LeavingSignal::Answer | LeavingSignal::Refusal);
--- a/crates/anvilhubd/tests/platform_reads.rs
+++ b/crates/anvilhubd/tests/platform_reads.rs
@@ -8,7 +8,7 @@
     let sheet = |version| service(version, "direct", vec![shard(0, 1, &[&upstream])]);
     let entry = TestEntry::start(&sheet(1));
 
-    // A watch for a revision above the present one would wait for ever.
+    // A watch for a revision above the present one would wait forever.
     entry.platform.restart(FIRST_REVISION / 2, &sheet(2));
 
     eventually("the new version is in force", || {
