Log each routing and placement decision by default

Cause: the users ask for a line for each routing or placement decision; the choice of a replica was logged at 'debug' and the owner of a batch not at all. Ruled out: one line for each request with all its choices, which could not name the reason of each.

--- a/crates/anvilhubd/src/fanout/request_run.rs
+++ b/crates/anvilhubd/src/fanout/request_run.rs
@@ -155,6 +155,10 @@
         }
         let owners = batches.len();
         for (owner, queries) in batches {
+            info!(
+                request_id:% = self.body.request_id, owner:% = owner, sub_requests = queries.len(),
+                reason = "the owner queues for the slots of these shards"; "sub-requests placed"
+            );
             let call = BatchCall {
                 context: Arc::clone(&self.context),
                 owner,
--- a/crates/anvilhubd/src/fanout/sub_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_run.rs
@@ -10,7 +10,7 @@
 use anvilhub_coord::sheet::RouteMode;
 use anvilhub_coord::time::ClockTime;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use log::debug;
+use log::{debug, info};
 use metrics::counter;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
@@ -243,7 +243,7 @@
         let id = self.context.sub_ids.next();
         let kind = kind.map_or_else(|| "first".to_owned(), |kind| kind.to_string());
         let body = &self.query.body;
-        debug!(
+        info!(
             request_id:% = body.request_id, sub_request:% = id, shard:% = self.query.shard.name,
             upstream:% = upstream.spec.id, kind, reason:% = choice.reason; "sub-request routed"
         );
