Answer a refused resend with 'unknown', not 'not run'

Cause: found while reading: a resend with a ticket was refused by the request chain (no time left, caller no longer served, sheet not confirmed, malformed) as 'not_run' although its first copy had run; a caller that believes it orders again. Change: a refusal before the ticket is looked up is 'unknown' when the request has a ticket, or may have one in a body that could not be read. The wait for a confirmed sheet is bounded by max_deadline_ms. Ruled out: looking the ticket up before every check, since the owner may be another instance.

--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -21,6 +21,8 @@
 use crate::lifecycle::LifecycleStage;
 use crate::peer::{BatchAnswer, BatchMessage};
 
+use super::UnreadQuery;
+
 /// Seconds after which a refused request may be sent again. Queues turn over within less than a second, and
 /// this is the least that the header can say.
 const RETRY_AFTER: u64 = 1;
@@ -55,7 +57,7 @@
         let _guard = self.context.begin_request();
         let (status, answer) = match self.read_query(request).await {
             Ok(query) => self.answer(query, RequestOrigin::Caller).await,
-            Err(error) => refuse(&error, no_request_id()),
+            Err(unread) => refuse(&unread.error, no_request_id(), unread.may_hold_ticket),
         };
         let mut response = respond(status, &answer);
         if self.context.stage.get() == LifecycleStage::Draining {
@@ -67,25 +69,32 @@
         response
     }
 
-    async fn read_query(&self, request: Request<Incoming>) -> Result<QueryRequest> {
+    async fn read_query(
+        &self,
+        request: Request<Incoming>,
+    ) -> std::result::Result<QueryRequest, UnreadQuery> {
         let path = request.uri().path();
         if request.method() != Method::POST || path != "/v1/query" {
-            return Err(RequestError::UnknownPath {
-                path: path.to_owned(),
-            });
+            let path = path.to_owned();
+            return Err(UnreadQuery::without_ticket(RequestError::UnknownPath {
+                path,
+            }));
         }
+        let body = self.read_body(request.into_body()).await;
+        let body = body.map_err(UnreadQuery::without_body)?;
+        serde_json::from_slice(&body).map_err(|error| UnreadQuery::of_body(&error, &body))
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes> {
         let settings = &self.context.settings;
         let bytes = usize::try_from(settings.max_body.get()).unwrap_or(usize::MAX);
-        let body = Limited::new(request.into_body(), bytes).collect();
-        let body = timeout(settings.body_timeout, body)
+        let body = timeout(settings.body_timeout, Limited::new(body, bytes).collect())
             .await
             .map_err(|_| RequestError::SlowBody {
                 millis: settings.body_timeout.as_millis(),
             })?
             .map_err(|error| body_error(&*error, settings.max_body))?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|error| RequestError::MalformedBody {
-            reason: error.to_string(),
-        })
+        Ok(body.to_bytes())
     }
 
     /// Answers a parsed request of a caller or of another instance.
@@ -95,12 +104,13 @@
         origin: RequestOrigin,
     ) -> (StatusCode, QueryAnswer) {
         let request_id = query.request_id.clone();
+        let has_ticket = query.ticket.is_some();
         match self.run_query(query, origin).await {
             Ok(answer) => {
                 log_answer(&answer);
                 (status_of(&answer), answer)
             }
-            Err(error) => refuse(&error, request_id),
+            Err(error) => refuse(&error, request_id, has_ticket),
         }
     }
 
@@ -111,7 +121,8 @@
 
     async fn run_query(&self, query: QueryRequest, origin: RequestOrigin) -> Result<QueryAnswer> {
         let arrived = self.context.clock.now();
-        let limit = arrived + Duration::from_millis(query.deadline_ms);
+        let remaining = Duration::from_millis(query.deadline_ms);
+        let limit = arrived + remaining.min(self.context.settings.max_deadline);
         if !self.context.confirm_sheet(limit).await {
             return Err(RequestError::NotReady);
         }
@@ -152,10 +163,15 @@
     info!(request_id:% = answer.request_id, outcome:% = answer.outcome, coverage; "request answered");
 }
 
-fn refuse(error: &RequestError, request_id: RequestId) -> (StatusCode, QueryAnswer) {
+/// The answer to a request that was refused before its ticket, if it has one, was looked up.
+fn refuse(
+    error: &RequestError,
+    request_id: RequestId,
+    may_hold_ticket: bool,
+) -> (StatusCode, QueryAnswer) {
     counter!("anvilhub_refused_requests_total", "code" => error.code()).increment(1);
     info!(request_id:% = request_id, code = error.code(); "request refused: {error}");
-    (error.status(), error.answer(request_id))
+    (error.status(), error.answer(request_id, may_hold_ticket))
 }
 
 fn status_of(answer: &QueryAnswer) -> StatusCode {
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -94,10 +94,11 @@
         }
     }
 
-    /// What is known of the request's effect. A request that was never routed did not run; a ticket that cannot
-    /// be used may stem from a damaged resend of a request that ran.
-    fn outcome(&self) -> QueryOutcome {
+    /// What is known of the request's effect. A request without a ticket that was never routed did not run. One with
+    /// a ticket may be the resend of a request that has run, and only the ticket's owner can tell.
+    fn outcome(&self, may_hold_ticket: bool) -> QueryOutcome {
         match self {
+            _ if may_hold_ticket => QueryOutcome::Unknown,
             Self::BadTicket { .. } => QueryOutcome::Unknown,
             Self::TicketRefused { refusal } => refusal.outcome(),
             _ => QueryOutcome::NotRun,
@@ -142,15 +143,15 @@
         }
     }
 
-    /// The answer to the caller.
-    pub(crate) fn answer(&self, request_id: RequestId) -> QueryAnswer {
+    /// The answer to the caller; `may_hold_ticket` says whether the request has a ticket, or may have one.
+    pub(crate) fn answer(&self, request_id: RequestId, may_hold_ticket: bool) -> QueryAnswer {
         let ticket = match self {
             Self::TicketRequired { ticket } => Some(TicketEntry::clone(ticket)),
             _ => None,
         };
         QueryAnswer {
             request_id,
-            outcome: self.outcome(),
+            outcome: self.outcome(may_hold_ticket),
             rows: Vec::new(),
             snapshot: None,
             coverage: None,
--- a/crates/anvilhubd/tests/lib.rs
+++ b/crates/anvilhubd/tests/lib.rs
@@ -11,3 +11,4 @@
 mod settings_check;
 mod silent_connections;
 mod snapshot_choice;
+mod ticket_resends;
