--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod absence_rule;
 mod caller_aim;
+mod departure_state;
 mod gather_cut;
 mod gather_rule;
 mod host_name;
@@ -23,6 +24,7 @@
 
 pub use absence_rule::AbsenceRule;
 pub use caller_aim::CallerAim;
+pub use departure_state::DepartureState;
 pub use gather_cut::{CutVerdict, GatherCut};
 pub use gather_rule::GatherRule;
 pub use host_name::HostName;
--- a/crates/anvilhub-coord/src/gateway/replica_rank.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_rank.rs
@@ -36,15 +36,18 @@
 
 impl ReplicaRank {
     /// Index of the candidate to use; `None` when each was tried. `random` gives numbers from 0 to 1.
+    ///
+    /// A leaving upstream is never used for a further attempt: the first one may still be answered.
     pub fn choose(
         &self,
         candidates: &[RankedReplica],
+        is_further: bool,
         mut random: impl FnMut() -> f64,
     ) -> Option<usize> {
         let mut best: Option<(f64, usize)> = None;
         let tier = candidates
             .iter()
-            .filter(|each| !each.tried)
+            .filter(|each| !each.tried && !(is_further && each.leaving))
             .map(tier)
             .min()?;
         for (index, candidate) in candidates.iter().enumerate() {
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -20,6 +20,7 @@
 mod pause_detection;
 mod platform_confirmation;
 mod replica_picker;
+mod replica_rank;
 mod retry_budget;
 mod scenario;
 mod scenario_files;
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -195,13 +195,17 @@
     fn choose(&self, index: usize, now: ClockTime) -> Option<Arc<UpstreamNode>> {
         let part = &self.parts[index];
         let group = part.group.as_ref()?;
-        let domain = &self.gateway.settings.failure_domain;
+        let settings = &self.gateway.settings;
         let candidates: Vec<_> = group
             .nodes
             .iter()
-            .map(|node| node.ranked(now, self.plan.usual, domain, part.was_tried(node)))
+            .map(|node| node.ranked(now, self.plan.usual, settings, part.was_tried(node)))
             .collect();
-        let chosen = ReplicaRank::default().choose(&candidates, rand::random::<f64>)?;
+        let chosen = ReplicaRank::default().choose(
+            &candidates,
+            !part.tried.is_empty(),
+            rand::random::<f64>,
+        )?;
         Some(Arc::clone(&group.nodes[chosen]))
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -132,6 +132,7 @@
 
     /// Lays out the upstreams by service. Processes that are known keep their state and connections.
     fn rebuild_groups(&self) {
+        let now = self.clock.now();
         let known = self.groups.load_full();
         let by_id: HashMap<_, _> = known
             .values()
@@ -148,8 +149,7 @@
                     Some(node) => Arc::clone(node),
                     None => self.found(entry),
                 };
-                if node.is_leaving() != leaving {
-                    node.set_leaving(leaving);
+                if node.set_leaving(now, leaving) {
                     info!(upstream:% = entry.id, service:% = entry.service, leaving; "upstream changed");
                 }
                 nodes.entry(entry.service.clone()).or_default().push(node);
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -44,6 +44,8 @@
     pub hedge_quantile: f64,
     /// Number of instances among which the connections of an upstream are divided.
     pub connection_sharers: u32,
+    /// How long a leaving upstream may serve a shard that has no other, once this instance knows that it leaves.
+    pub leaving_grace: Duration,
     /// How long an attempt that lost against another may go on, so that its connection is kept.
     pub loser_time: Duration,
 }
@@ -70,6 +72,7 @@
             extra_slack: 2,
             hedge_quantile: 0.9,
             connection_sharers: 10,
+            leaving_grace: Duration::from_millis(500),
             loser_time: Duration::from_millis(250),
         }
     }
--- a/crates/anvilhubd/src/gateway/upstream_node.rs
+++ b/crates/anvilhubd/src/gateway/upstream_node.rs
@@ -1,14 +1,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use anvilhub_coord::gateway::{RankedReplica, ReplicaGauge, UpstreamEntry};
-use anvilhub_coord::ids::FailureDomain;
+use anvilhub_coord::gateway::{DepartureState, RankedReplica, ReplicaGauge, UpstreamEntry};
 use anvilhub_coord::time::ClockTime;
 use std::time::Duration;
 use tokio::sync::Semaphore;
 
 use crate::routes::RouteCell;
 
-use super::LinkShelf;
+use super::{GatewaySettings, LinkShelf};
 
 /// One process of an upstream: what it announced, what is known of it, and the connections to it.
 pub(super) struct UpstreamNode {
@@ -17,26 +16,25 @@
     pub(super) shelf: RouteCell<LinkShelf>,
     /// One permit for each connection that this instance may hold.
     pub(super) connections: Semaphore,
-    is_leaving: AtomicBool,
+    departure: RouteCell<DepartureState>,
     is_gone: AtomicBool,
 }
 
 impl UpstreamNode {
     pub(super) fn new(entry: UpstreamEntry, share: usize) -> Self {
-        let is_leaving = AtomicBool::new(entry.draining);
         Self {
             entry,
             gauge: RouteCell::default(),
             shelf: RouteCell::default(),
             connections: Semaphore::new(share),
-            is_leaving,
+            departure: RouteCell::default(),
             is_gone: AtomicBool::new(false),
         }
     }
 
-    /// Notes whether the upstream announced that it leaves, or may be gone.
-    pub(super) fn set_leaving(&self, leaving: bool) {
-        self.is_leaving.store(leaving, Ordering::Relaxed);
+    /// Notes whether the upstream announced that it leaves, or may be gone; says whether that is new.
+    pub(super) fn set_leaving(&self, now: ClockTime, leaving: bool) -> bool {
+        self.departure.with(|departure| departure.set(now, leaving))
     }
 
     /// Notes that another upstream has the address: no request goes there any more.
@@ -48,18 +46,18 @@
         self.is_gone.load(Ordering::Relaxed)
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
-    }
-
     /// What a choice needs to know of this upstream.
     pub(super) fn ranked(
         &self,
         now: ClockTime,
         usual: Duration,
-        domain: &FailureDomain,
+        settings: &GatewaySettings,
         tried: bool,
     ) -> RankedReplica {
+        let (leaving, usable) = self.departure.with(|departure| {
+            let usable = departure.is_usable(now, settings.leaving_grace);
+            (departure.is_leaving(), usable)
+        });
         let slots = self.entry.slots.get();
         let (cost, resting) = self
             .gauge
@@ -67,9 +65,9 @@
         RankedReplica {
             cost,
             resting,
-            leaving: self.is_leaving(),
-            near: self.entry.domain == *domain,
-            tried: tried || self.is_gone(),
+            leaving,
+            near: self.entry.domain == settings.failure_domain,
+            tried: tried || self.is_gone() || !usable,
         }
     }
 }
