--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -6,6 +6,7 @@
 mod answer_gather;
 mod attempt_rule;
 mod border_fuzz;
+mod caller_aim;
 mod connection_ledger;
 mod connection_share;
 mod ejection_policy;
