--- a/crates/anvilhub-coord/src/gateway/route_target.rs
+++ b/crates/anvilhub-coord/src/gateway/route_target.rs
@@ -11,3 +11,14 @@
     /// To one upstream of each shard.
     Gather(GatherRule),
 }
+
+impl RouteTarget {
+    /// Every service that requests may go to.
+    pub fn services(&self) -> Vec<&ServiceName> {
+        match self {
+            Self::Service(service) => vec![service],
+            Self::Split(parts) => parts.iter().map(|part| &part.service).collect(),
+            Self::Gather(gather) => gather.shards.iter().collect(),
+        }
+    }
+}
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -19,11 +19,11 @@
 use crate::logging;
 
 use super::{
-    Gateway, GatewayError, GatewayHandler, GatewaySettings, GatewayWire, ReadyHandler, Result,
+    Gateway, GatewayError, GatewayHandler, GatewaySettings, GatewayWire, LinkWarmer, ReadyHandler, Result,
 };
 
-/// How often upstreams whose entry is missing are reviewed.
-const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+/// How often upstreams whose entry is missing are reviewed, and missing connections opened.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest rest of a caller's connection; above what callers keep connections for.
 const CALLER_IDLE: Duration = Duration::from_secs(20);
 /// Largest head of a request. Heads at the largest size that callers may send still fit.
@@ -104,11 +104,15 @@
     server.serve(listener, stop).await;
 }
 
-/// Drops upstreams whose absence has become certain.
+/// Drops upstreams whose absence has become certain, and keeps connections to the others open.
 async fn review(gateway: Arc<Gateway>) {
+    let warmer = LinkWarmer::new(Arc::clone(&gateway));
     loop {
         tokio::time::sleep(REVIEW_INTERVAL).await;
         gateway.review_upstreams();
+        if !gateway.is_draining() {
+            warmer.warm();
+        }
     }
 }
 
--- a/crates/anvilhubd/src/gateway/link_shelf.rs
+++ b/crates/anvilhubd/src/gateway/link_shelf.rs
@@ -58,6 +58,10 @@
         }
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.idle.is_empty()
+    }
+
     /// Takes in the idle timeout that the upstream states.
     pub(super) fn state_timeout(&mut self, timeout: Duration) {
         self.idle_timeout = Some(timeout);
--- a/crates/anvilhubd/src/gateway/serving_table.rs
+++ b/crates/anvilhubd/src/gateway/serving_table.rs
@@ -1,7 +1,8 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use anvilhub_coord::gateway::{RouteCatalog, RouteName};
+use anvilhub_coord::gateway::{RouteCatalog, RouteName, RouteTarget};
+use anvilhub_coord::ids::ServiceName;
 
 use super::RouteState;
 
@@ -26,4 +27,10 @@
             .collect();
         Self { catalog, states }
     }
+
+    /// The services that routes name, each once.
+    pub(super) fn routed_services(&self) -> BTreeSet<&ServiceName> {
+        let targets = self.catalog.rules().iter().map(|rule| &rule.target);
+        targets.flat_map(RouteTarget::services).collect()
+    }
 }
--- a/crates/anvilhubd/src/gateway/upstream_node.rs
+++ b/crates/anvilhubd/src/gateway/upstream_node.rs
@@ -46,6 +46,15 @@
         self.is_gone.load(Ordering::Relaxed)
     }
 
+    /// Says whether a connection should be opened ahead of need.
+    pub(super) fn wants_warm_link(&self, now: ClockTime) -> bool {
+        let is_busy = self
+            .gauge
+            .with(|gauge| gauge.in_flight() > 0 || gauge.is_resting(now));
+        let leaves = self.is_gone() || self.departure.with(|departure| departure.is_leaving());
+        !is_busy && !leaves && self.shelf.with(|shelf| shelf.is_empty())
+    }
+
     /// What a choice needs to know of this upstream.
     pub(super) fn ranked(
         &self,
