Prefer upstreams that answer over those that refuse part of their requests

Ruled out: full queues (stated waiting 0). Change: ReplicaGauge keeps the share of attempts that gave no answer.

--- a/crates/anvilhub-coord/src/gateway/replica_gauge.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_gauge.rs
@@ -9,6 +9,12 @@
 const PACE_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Age after which a stated load says nothing, since slots turn over within milliseconds.
 const LOAD_AGE: Duration = Duration::from_millis(150);
+/// Weight of a new observation in the share of attempts that gave no answer.
+const TROUBLE_WEIGHT: f64 = 0.15;
+/// Time after which half of that share is forgotten.
+const TROUBLE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// What an attempt that gives no answer costs, in usual answer times.
+const TROUBLE_COST: f64 = 6.0;
 /// Failures in a row after which an upstream rests.
 const FAILURES: u32 = 3;
 /// First rest; each further failure doubles it.
@@ -43,6 +49,8 @@
     load: Option<(ClockTime, SlotLoad)>,
     sent_since_load: u32,
     failures: u32,
+    trouble: f64,
+    trouble_time: ClockTime,
     rests_until: Option<ClockTime>,
 }
 
@@ -58,18 +66,21 @@
         self.finish(sent);
         self.failures = 0;
         self.rests_until = None;
+        self.observe_trouble(now, 0.0);
         self.observe_pace(now, now.since(sent), usual);
     }
 
-    /// Counts a refusal of the attempt sent at `sent`: the upstream works, but has no room.
-    pub fn refused(&mut self, sent: ClockTime) {
+    /// Counts a refusal of the attempt sent at `sent`: the upstream works, but has no room or says so.
+    pub fn refused(&mut self, now: ClockTime, sent: ClockTime) {
         self.finish(sent);
+        self.observe_trouble(now, 1.0);
         self.failures = 0;
     }
 
     /// Counts an attempt that failed.
     pub fn failed(&mut self, now: ClockTime, sent: ClockTime, kind: FailureKind) {
         self.finish(sent);
+        self.observe_trouble(now, 1.0);
         self.failures += match kind {
             FailureKind::Unconnected => FAILURES,
             FailureKind::Broken | FailureKind::Silent => 1,
@@ -115,7 +126,9 @@
         let slots = f64::from(slots.max(1));
         let queue = (self.held(now) - slots + 1.0).max(0.0) / slots;
         let machine = self.stated_pace(now);
-        self.pace_at(now).max(machine) * (1.0 + queue) + self.silence(now, usual)
+        self.pace_at(now).max(machine) * (1.0 + queue)
+            + self.silence(now, usual)
+            + TROUBLE_COST * self.trouble_at(now)
     }
 
     /// Requests that the upstream holds, as far as is known.
@@ -143,6 +156,18 @@
         1.0 + (self.pace - 1.0) * 0.5_f64.powf(half_lives)
     }
 
+    /// Share of recent attempts that gave no answer, fading to none.
+    fn trouble_at(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.trouble_time).as_secs_f64();
+        self.trouble * 0.5_f64.powf(age / TROUBLE_HALF_LIFE.as_secs_f64())
+    }
+
+    fn observe_trouble(&mut self, now: ClockTime, observed: f64) {
+        let known = self.trouble_at(now);
+        self.trouble = known + (observed - known) * TROUBLE_WEIGHT;
+        self.trouble_time = now;
+    }
+
     fn silence(&self, now: ClockTime, usual: Duration) -> f64 {
         let Some(oldest) = self.waiting.iter().min() else {
             return 0.0;
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -21,6 +21,7 @@
 mod owner_health;
 mod pause_detection;
 mod platform_confirmation;
+mod replica_gauge;
 mod replica_picker;
 mod replica_rank;
 mod retry_budget;
