--- a/crates/anvilhubd/src/gateway/route_state.rs
+++ b/crates/anvilhubd/src/gateway/route_state.rs
@@ -7,7 +7,7 @@
 use crate::routes::RouteCell;
 
 /// Part of the aim after which an attempt is late while too few answers are known.
-const UNKNOWN_DELAY: f64 = 0.3;
+const UNKNOWN_DELAY: f64 = 0.45;
 /// Part of the aim that an answer usually takes while too few answers are known.
 const UNKNOWN_USUAL: f64 = 0.12;
 /// Longest part of the aim for which a hedge waits.
