--- a/crates/anvilhub-coord/src/gateway/replica_gauge.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_gauge.rs
@@ -123,14 +123,19 @@
 
     /// Expected time of an answer, in usual answer times. `slots` is what the upstream announces.
     pub fn cost(&self, now: ClockTime, usual: Duration, slots: u32) -> f64 {
-        let slots = f64::from(slots.max(1));
-        let queue = (self.held(now) - slots + 1.0).max(0.0) / slots;
+        let queue = self.queue(now, slots);
         let machine = self.stated_pace(now);
         self.pace_at(now).max(machine) * (1.0 + queue)
             + self.silence(now, usual)
             + TROUBLE_COST * self.trouble_at(now)
     }
 
+    /// Rounds of work in front of a further request: 0 when a slot is free.
+    pub fn queue(&self, now: ClockTime, slots: u32) -> f64 {
+        let slots = f64::from(slots.max(1));
+        (self.held(now) - slots + 1.0).max(0.0) / slots
+    }
+
     /// Requests that the upstream holds, as far as is known.
     fn held(&self, now: ClockTime) -> f64 {
         let own = self.waiting.len() as f64;
--- a/crates/anvilhub-coord/src/gateway/replica_rank.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_rank.rs
@@ -3,6 +3,8 @@
 pub struct RankedReplica {
     /// Expected time of an answer, in usual answer times.
     pub cost: f64,
+    /// Rounds of work in front of a further request.
+    pub queue: f64,
     /// Whether it rests after failures.
     pub resting: bool,
     /// Whether it leaves or may be gone; used only when nothing else is left.
--- a/crates/anvilhub-coord/tests/gather_cut.rs
+++ b/crates/anvilhub-coord/tests/gather_cut.rs
@@ -23,37 +23,58 @@
 
 #[test]
 fn answers_at_aim() {
-    assert_eq!(verdict(&[Done, Done, Done, Waiting], 32), CutVerdict::Answer);
+    assert_eq!(
+        verdict(&[Done, Done, Done, Waiting], 32),
+        CutVerdict::Answer
+    );
 }
 
 /// An instance that woke 2 ms after the cut went on waiting and answered after the aim.
 #[test]
 fn late_wake_answers() {
-    assert_eq!(verdict(&[Done, Done, Done, Waiting], 34), CutVerdict::Answer);
+    assert_eq!(
+        verdict(&[Done, Done, Done, Waiting], 34),
+        CutVerdict::Answer
+    );
 }
 
 #[test]
 fn too_few_wait_on() {
-    assert_eq!(verdict(&[Done, Done, Waiting, Waiting], 40), CutVerdict::Wait);
-    assert_eq!(verdict(&[Done, Done, Waiting, Waiting], 240), CutVerdict::Hopeless);
+    assert_eq!(
+        verdict(&[Done, Done, Waiting, Waiting], 40),
+        CutVerdict::Wait
+    );
+    assert_eq!(
+        verdict(&[Done, Done, Waiting, Waiting], 240),
+        CutVerdict::Hopeless
+    );
 }
 
 /// After the aim a complete answer is worth a bounded wait.
 #[test]
 fn late_one_completes() {
     assert_eq!(verdict(&[Done, Done, Done, Waiting], 50), CutVerdict::Wait);
-    assert_eq!(verdict(&[Done, Done, Done, Waiting], 64), CutVerdict::Answer);
+    assert_eq!(
+        verdict(&[Done, Done, Done, Waiting], 64),
+        CutVerdict::Answer
+    );
 }
 
 #[test]
 fn nobody_waits_for_doubtful() {
-    assert_eq!(verdict(&[Done, Done, Done, Doubtful], 5), CutVerdict::Answer);
+    assert_eq!(
+        verdict(&[Done, Done, Done, Doubtful], 5),
+        CutVerdict::Answer
+    );
     assert_eq!(verdict(&[Done, Done, Lost, Doubtful], 5), CutVerdict::Wait);
 }
 
 #[test]
 fn hopeless_is_known_at_once() {
-    assert_eq!(verdict(&[Done, Waiting, Lost, Lost], 5), CutVerdict::Hopeless);
+    assert_eq!(
+        verdict(&[Done, Waiting, Lost, Lost], 5),
+        CutVerdict::Hopeless
+    );
 }
 
 #[test]
--- a/crates/anvilhub-coord/tests/replica_gauge.rs
+++ b/crates/anvilhub-coord/tests/replica_gauge.rs
@@ -89,3 +89,14 @@
     serve(&mut gauge, 1_000, 1, 10);
     assert!(!gauge.is_doubtful());
 }
+
+/// Hedges to upstreams whose slots were all taken lengthened the queues that had made them late.
+#[test]
+fn queue_counts_rounds() {
+    let mut gauge = ReplicaGauge::default();
+    gauge.sent(at(0));
+    assert_eq!(gauge.queue(at(1), SLOTS), 0.0);
+    gauge.sent(at(1));
+    gauge.sent(at(2));
+    assert_eq!(gauge.queue(at(3), SLOTS), 1.0);
+}
--- a/crates/anvilhub-coord/tests/replica_rank.rs
+++ b/crates/anvilhub-coord/tests/replica_rank.rs
@@ -10,6 +10,7 @@
 fn replica(cost: f64) -> RankedReplica {
     RankedReplica {
         cost,
+        queue: 0.0,
         resting: false,
         leaving: false,
         near: true,
--- a/crates/anvilhub-coord/tests/retry_budget.rs
+++ b/crates/anvilhub-coord/tests/retry_budget.rs
@@ -111,3 +111,38 @@
     assert!(spent[0] >= 10, "{spent:?}");
     assert!((40..=50).contains(&(spent[0] + spent[1])), "{spent:?}");
 }
+
+/// Every window of a windowed budget holds at most what it earned and the slack.
+#[test]
+fn windows_are_bounded() {
+    let window = Duration::from_secs(10);
+    let mut budget = RetryBudget::windowed(0.2, window, 2);
+    let mut rng = SmallRng::seed_from_u64(11);
+    let (mut needed, mut spent) = (Vec::new(), Vec::new());
+    let mut now = 0;
+    while now < 60_000_000_u64 {
+        now += rng.random_range(1..200_000);
+        budget.earn(ClockTime(now));
+        needed.push(now);
+        for _ in 0..rng.random_range(0..4) {
+            if budget.try_spend(ClockTime(now)) {
+                spent.push(now);
+            }
+        }
+    }
+    assert!(!spent.is_empty());
+    let micros = window.as_micros() as u64;
+    for end in &spent {
+        let within = |times: &[u64]| {
+            let from = end.saturating_sub(micros);
+            times
+                .iter()
+                .filter(|time| (from..=*end).contains(time))
+                .count() as f64
+        };
+        assert!(
+            within(&spent) <= 0.2 * within(&needed) + 2.0,
+            "window that ends at {end}"
+        );
+    }
+}
--- a/crates/anvilhubd/src/gateway/attempt_guard.rs
+++ b/crates/anvilhubd/src/gateway/attempt_guard.rs
@@ -41,9 +41,7 @@
     pub(super) fn refused(mut self) {
         let now = self.clock.now();
         self.is_open = false;
-        self.node
-            .gauge
-            .with(|gauge| gauge.refused(now, self.sent));
+        self.node.gauge.with(|gauge| gauge.refused(now, self.sent));
     }
 
     pub(super) fn failed(mut self, kind: FailureKind) {
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{CutVerdict, GatherCut, PartState, ReplicaRank, TopRecords};
+use anvilhub_coord::gateway::{
+    CutVerdict, GatherCut, PartState, RankedReplica, ReplicaRank, TopRecords,
+};
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
@@ -13,6 +15,9 @@
     RunGuard, UpstreamAnswer, UpstreamNode,
 };
 
+/// Rounds of work in front of a hedge above which none is sent: it would come too late and delay others.
+const MOST_HEDGE_QUEUE: f64 = 0.5;
+
 /// How a request is sent to its upstreams.
 pub(super) struct FanPlan {
     /// The services that each have a part.
@@ -145,9 +150,12 @@
     /// Sends a part to a further upstream; says whether it could.
     fn send(&mut self, index: usize, cause: SendCause) -> bool {
         let now = self.gateway.clock.now();
-        let Some(node) = self.choose(index, now) else {
+        let Some((node, ranked)) = self.choose(index, now) else {
             return false;
         };
+        if cause == SendCause::Hedge && ranked.queue > MOST_HEDGE_QUEUE {
+            return false;
+        }
         let part = &mut self.parts[index];
         let Some(group) = &part.group else {
             return false;
@@ -188,7 +196,8 @@
         true
     }
 
-    fn choose(&self, index: usize, now: ClockTime) -> Option<Arc<UpstreamNode>> {
+    /// The upstream for an attempt, and what decided for it.
+    fn choose(&self, index: usize, now: ClockTime) -> Option<(Arc<UpstreamNode>, RankedReplica)> {
         let part = &self.parts[index];
         let group = part.group.as_ref()?;
         let settings = &self.gateway.settings;
@@ -202,7 +211,7 @@
             !part.tried.is_empty(),
             rand::random::<f64>,
         )?;
-        Some(Arc::clone(&group.nodes[chosen]))
+        Some((Arc::clone(&group.nodes[chosen]), candidates[chosen]))
     }
 
     fn start(&mut self, index: usize, node: Arc<UpstreamNode>) {
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -19,7 +19,8 @@
 use crate::logging;
 
 use super::{
-    Gateway, GatewayError, GatewayHandler, GatewaySettings, GatewayWire, LinkWarmer, ReadyHandler, Result,
+    Gateway, GatewayError, GatewayHandler, GatewaySettings, GatewayWire, LinkWarmer, ReadyHandler,
+    Result,
 };
 
 /// How often upstreams whose entry is missing are reviewed, and missing connections opened.
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -133,7 +133,9 @@
         let left = stated
             .saturating_sub(settings.answer_margin)
             .min(rule.timeout);
-        line.waited_before = state.aim.with(|aim| aim.waited_before(stated, rule.timeout));
+        line.waited_before = state
+            .aim
+            .with(|aim| aim.waited_before(stated, rule.timeout));
         let (usual, hedge_delay) = state.delays(rule.aim, settings.hedge_quantile);
         line.hedge_delay = hedge_delay;
         let Some((services, top)) =
--- a/crates/anvilhubd/src/gateway/upstream_node.rs
+++ b/crates/anvilhubd/src/gateway/upstream_node.rs
@@ -68,11 +68,13 @@
             (departure.is_leaving(), usable)
         });
         let slots = self.entry.slots.get();
-        let (cost, resting) = self
-            .gauge
-            .with(|gauge| (gauge.cost(now, usual, slots), gauge.is_resting(now)));
+        let (cost, queue, resting) = self.gauge.with(|gauge| {
+            let cost = gauge.cost(now, usual, slots);
+            (cost, gauge.queue(now, slots), gauge.is_resting(now))
+        });
         RankedReplica {
             cost,
+            queue,
             resting,
             leaving,
             near: self.entry.domain == settings.failure_domain,
