Leave out shards whose part would come long after the cut

Cause: shards whose both upstreams are slow got more requests than they can run; every part then came after the cut, and the queue left nothing for requests that needed it.

--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -33,6 +33,7 @@
 mod sheet_fetch;
 mod sheet_fuzz;
 mod sheets;
+mod skip_rule;
 mod slot_overflow;
 mod slot_queue;
 mod start_sample;
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CutVerdict, GatherCut, PartState, RankedReplica, ReplicaRank, TopRecords,
+    CutVerdict, GatherCut, PartState, RankedReplica, ReplicaRank, SkipRule, TopRecords,
 };
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::sheet::RepeatPolicy;
@@ -97,8 +97,14 @@
     }
 
     pub(super) async fn run(mut self) -> FanOutcome {
+        let skipped = self.skipped();
         for index in 0..self.parts.len() {
-            self.send(index, SendCause::First);
+            match skipped.contains(&index) {
+                true => self.parts[index].outcome = PartOutcome::Skipped,
+                false => {
+                    self.send(index, SendCause::First);
+                }
+            }
         }
         loop {
             let waited = self.waited();
@@ -123,6 +129,25 @@
         }
     }
 
+    /// Parts that would come too late and that the answer can spare.
+    fn skipped(&self) -> Vec<usize> {
+        let now = self.gateway.clock.now();
+        let cut = &self.plan.cut;
+        let rule = SkipRule {
+            time_left: cut.aim_left * 2,
+            most_skips: self.parts.len().saturating_sub(cut.least_parts),
+        };
+        if rule.most_skips == 0 || rule.time_left.is_zero() {
+            return Vec::new();
+        }
+        let expected = |index| match self.choose(index, now) {
+            Some((_, ranked)) => self.plan.usual.mul_f64(ranked.cost),
+            None => Duration::ZERO,
+        };
+        let expected: Vec<Duration> = (0..self.parts.len()).map(expected).collect();
+        rule.plan(&expected)
+    }
+
     fn waited(&self) -> Duration {
         self.gateway.clock.now().since(self.plan.arrived)
     }
--- a/crates/anvilhubd/src/gateway/part_outcome.rs
+++ b/crates/anvilhubd/src/gateway/part_outcome.rs
@@ -9,6 +9,9 @@
     /// No upstream of the service is known.
     #[display("no_upstream")]
     NoUpstream,
+    /// It would have come too late and was not sent.
+    #[display("skipped")]
+    Skipped,
     /// No answer had arrived when the request ended.
     #[display("waiting")]
     Waiting,
