--- a/crates/anvilhub-coord/src/gateway/replica_rank.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_rank.rs
@@ -49,7 +49,7 @@
         let mut best: Option<(f64, usize)> = None;
         let tier = candidates
             .iter()
-            .filter(|each| !each.tried && !(is_further && each.leaving))
+            .filter(|each| !(each.tried || is_further && each.leaving))
             .map(tier)
             .min()?;
         for (index, candidate) in candidates.iter().enumerate() {
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -35,6 +35,9 @@
     pub(super) arrived: ClockTime,
 }
 
+/// Index of a part, and how an attempt at it ended.
+type PartEnd = (usize, AttemptEnd);
+
 /// Why an attempt is made.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum SendCause {
@@ -58,10 +61,8 @@
     extra: u32,
     may_have_run: bool,
     guard: RunGuard,
-    ends: (
-        UnboundedSender<(usize, AttemptEnd)>,
-        UnboundedReceiver<(usize, AttemptEnd)>,
-    ),
+    sender: UnboundedSender<PartEnd>,
+    ends: UnboundedReceiver<PartEnd>,
 }
 
 impl FanRun {
@@ -81,6 +82,7 @@
             RepeatPolicy::Idempotent => Some(gateway.settings.loser_time),
             RepeatPolicy::NonIdempotent => None,
         };
+        let (sender, ends) = unbounded_channel();
         Self {
             gateway,
             request,
@@ -92,7 +94,8 @@
             extra: 0,
             may_have_run: false,
             guard: RunGuard::new(grace),
-            ends: unbounded_channel(),
+            sender,
+            ends,
         }
     }
 
@@ -116,11 +119,11 @@
             }
             let pause = self.next_event(waited).saturating_sub(waited);
             tokio::select! {
-                end = self.ends.1.recv() => {
+                end = self.ends.recv() => {
                     if let Some((index, end)) = end {
                         self.ended(index, end);
                     }
-                    while let Ok((index, end)) = self.ends.1.try_recv() {
+                    while let Ok((index, end)) = self.ends.try_recv() {
                         self.ended(index, end);
                     }
                 }
@@ -249,7 +252,7 @@
             usual: self.plan.usual,
             deadline: self.plan.arrived + self.plan.cut.time_left,
         };
-        let sender = self.ends.0.clone();
+        let sender = self.sender.clone();
         let task = tokio::spawn(async move {
             let end = attempt.run().await;
             // The request may have ended without this attempt.
