Bound the gateway's log, and log what changes its belief

New lines: upstream rests, upstream answers again, budget used up (one a second), readiness changed. The line of a request has the age of what is known of the platform.

--- a/crates/anvilhub-coord/src/gateway/replica_gauge.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_gauge.rs
@@ -61,13 +61,16 @@
         self.sent_since_load += 1;
     }
 
-    /// Counts an answer to the attempt sent at `sent`. `usual` is the usual time of such an answer.
-    pub fn answered(&mut self, now: ClockTime, sent: ClockTime, usual: Duration) {
+    /// Counts an answer to the attempt sent at `sent`, and says whether it ends a series of failures. `usual` is the
+    /// usual time of such an answer.
+    pub fn answered(&mut self, now: ClockTime, sent: ClockTime, usual: Duration) -> bool {
         self.finish(sent);
+        let was_doubtful = self.is_doubtful();
         self.failures = 0;
         self.rests_until = None;
         self.observe_trouble(now, 0.0);
         self.observe_pace(now, now.since(sent), usual);
+        was_doubtful
     }
 
     /// Counts a refusal of the attempt sent at `sent`: the upstream works, but has no room or says so.
@@ -77,18 +80,27 @@
         self.failures = 0;
     }
 
-    /// Counts an attempt that failed.
-    pub fn failed(&mut self, now: ClockTime, sent: ClockTime, kind: FailureKind) {
+    /// Counts an attempt that failed. Returns how long the upstream rests if it does from now on.
+    pub fn failed(
+        &mut self,
+        now: ClockTime,
+        sent: ClockTime,
+        kind: FailureKind,
+    ) -> Option<Duration> {
         self.finish(sent);
         self.observe_trouble(now, 1.0);
         self.failures += match kind {
             FailureKind::Unconnected => FAILURES,
             FailureKind::Broken | FailureKind::Silent => 1,
         };
-        if self.failures >= FAILURES {
-            let doublings = ((self.failures - FAILURES) / FAILURES).min(MOST_DOUBLINGS);
-            self.rests_until = Some(now + FIRST_REST * 2_u32.pow(doublings));
+        if self.failures < FAILURES {
+            return None;
         }
+        let doublings = ((self.failures - FAILURES) / FAILURES).min(MOST_DOUBLINGS);
+        let rest = FIRST_REST * 2_u32.pow(doublings);
+        let was_resting = self.is_resting(now);
+        self.rests_until = Some(now + rest);
+        (!was_resting).then_some(rest)
     }
 
     /// Takes back an attempt that was abandoned `now`; a long wait counts against the pace.
--- a/crates/anvilhub-coord/tests/replica_gauge.rs
+++ b/crates/anvilhub-coord/tests/replica_gauge.rs
@@ -53,7 +53,7 @@
         let sent = at(index * 20);
         shedding.sent(sent);
         match index % 5 {
-            0 | 1 => shedding.answered(sent + USUAL, sent, USUAL),
+            0 | 1 => assert!(!shedding.answered(sent + USUAL, sent, USUAL)),
             _ => shedding.refused(sent + Duration::from_millis(1), sent),
         }
     }
@@ -81,7 +81,8 @@
     let mut gauge = ReplicaGauge::default();
     for index in 0..3 {
         gauge.sent(at(index));
-        gauge.failed(at(index), at(index), FailureKind::Broken);
+        let rest = gauge.failed(at(index), at(index), FailureKind::Broken);
+        assert_eq!(rest.is_some(), index == 2);
     }
     assert!(gauge.is_resting(at(10)));
     assert!(!gauge.is_resting(at(1_000)));
--- a/crates/anvilhubd/src/gateway/attempt_guard.rs
+++ b/crates/anvilhubd/src/gateway/attempt_guard.rs
@@ -4,6 +4,8 @@
 use anvilhub_coord::gateway::FailureKind;
 use anvilhub_coord::time::ClockTime;
 
+use log::{info, warn};
+
 use crate::clock::DaemonClock;
 
 use super::UpstreamNode;
@@ -33,9 +35,14 @@
     pub(super) fn answered(mut self) {
         let now = self.clock.now();
         self.is_open = false;
-        self.node
+        let is_back = self
+            .node
             .gauge
             .with(|gauge| gauge.answered(now, self.sent, self.usual));
+        if is_back {
+            let entry = &self.node.entry;
+            info!(upstream:% = entry.id, service:% = entry.service; "upstream answers again");
+        }
     }
 
     pub(super) fn refused(mut self) {
@@ -47,9 +54,18 @@
     pub(super) fn failed(mut self, kind: FailureKind) {
         let now = self.clock.now();
         self.is_open = false;
-        self.node
+        let rest = self
+            .node
             .gauge
             .with(|gauge| gauge.failed(now, self.sent, kind));
+        if let Some(rest) = rest {
+            let entry = &self.node.entry;
+            warn!(
+                upstream:% = entry.id, service:% = entry.service, kind:? = kind,
+                waited_ms = now.since(self.sent).as_millis() as u64, rest_ms = rest.as_millis() as u64;
+                "upstream rests after failures"
+            );
+        }
     }
 }
 
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -201,7 +201,7 @@
             (_, true) => group.budget.with(|budget| budget.try_spend(now)),
         };
         if !pays {
-            metrics::counter!("anvilhub_budget_refusals_total").increment(1);
+            self.gateway.note_spent_budget(&part.service);
             return false;
         }
         if is_extra {
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -1,10 +1,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use anvilhub_coord::gateway::{RouteCatalog, UpstreamEntry};
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::routing::RetryBudget;
+use anvilhub_coord::time::ClockTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use log::{info, warn};
 
@@ -19,6 +21,8 @@
 
 /// Least connections of one instance to an upstream, whatever the limit of the upstream.
 const LEAST_CONNECTIONS: usize = 2;
+/// Time between two log lines about budgets that are used up.
+const BUDGET_NOTE_PAUSE: Duration = Duration::from_secs(1);
 /// Connections to an upstream whose limit is not known.
 const UNKNOWN_CONNECTIONS: usize = 4;
 
@@ -36,6 +40,9 @@
     budgets: RouteCell<HashMap<ServiceName, Arc<RouteCell<RetryBudget>>>>,
     knows_upstreams: AtomicBool,
     is_platform_lost: AtomicBool,
+    /// When the platform answered last, in microseconds of the clock.
+    platform_reached: AtomicU64,
+    budget_noted: AtomicU64,
 }
 
 impl Gateway {
@@ -55,6 +62,8 @@
             budgets: RouteCell::default(),
             knows_upstreams: AtomicBool::new(false),
             is_platform_lost: AtomicBool::new(false),
+            platform_reached: AtomicU64::new(0),
+            budget_noted: AtomicU64::new(0),
         })
     }
 
@@ -91,9 +100,10 @@
     /// Takes in whether the platform answers.
     pub fn note_platform(&self, link: PlatformLink) {
         let is_lost = link == PlatformLink::Lost;
-        if is_lost {
-            let now = self.clock.now();
-            self.feed.with(|feed| feed.list_away(now));
+        let now = self.clock.now();
+        match is_lost {
+            true => self.feed.with(|feed| feed.list_away(now)),
+            false => self.platform_reached.store(now.0, Ordering::Release),
         }
         if self.is_platform_lost.swap(is_lost, Ordering::AcqRel) == is_lost {
             return;
@@ -105,6 +115,23 @@
         }
     }
 
+    /// Time since the platform answered last: the age of the configuration and the list.
+    pub(super) fn platform_age(&self) -> Duration {
+        let reached = ClockTime(self.platform_reached.load(Ordering::Acquire));
+        self.clock.now().since(reached)
+    }
+
+    /// Counts a hedge or retry that the budget of `service` does not pay for, and logs one of them a second.
+    pub(super) fn note_spent_budget(&self, service: &ServiceName) {
+        metrics::counter!("anvilhub_budget_refusals_total").increment(1);
+        let now = self.clock.now();
+        let noted = ClockTime(self.budget_noted.load(Ordering::Acquire));
+        if noted == ClockTime::default() || now.since(noted) >= BUDGET_NOTE_PAUSE {
+            self.budget_noted.store(now.0, Ordering::Release);
+            warn!(service:% = service; "the budget for hedges and retries is used up");
+        }
+    }
+
     /// Drops upstreams whose absence is certain by now.
     pub(super) fn review_upstreams(&self) {
         let now = self.clock.now();
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -42,8 +42,8 @@
     wire: Arc<dyn GatewayWire>,
     feed: impl FnOnce(Arc<Gateway>) -> std::io::Result<()>,
 ) -> Result<()> {
-    let _logger =
-        logging::start_stdout(settings.log_level).map_err(|error| start_error("logger", &error))?;
+    let _logger = logging::start_bounded(settings.log_level)
+        .map_err(|error| start_error("logger", &error))?;
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| start_error("metrics recorder", &error))?;
@@ -108,9 +108,15 @@
 /// Drops upstreams whose absence has become certain, and keeps connections to the others open.
 async fn review(gateway: Arc<Gateway>) {
     let warmer = LinkWarmer::new(Arc::clone(&gateway));
+    let mut was_ready = false;
     loop {
         tokio::time::sleep(REVIEW_INTERVAL).await;
         gateway.review_upstreams();
+        let is_ready = gateway.is_ready();
+        if is_ready != was_ready {
+            was_ready = is_ready;
+            info!(ready = is_ready, draining = gateway.is_draining(); "readiness changed");
+        }
         if !gateway.is_draining() {
             warmer.warm();
         }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -59,6 +59,7 @@
     async fn answer(&self, arrived: ClockTime, request: Request<Incoming>) -> HandledRequest {
         let facts = self.gateway.wire.read_request(request.headers());
         let mut line = RequestLine::new(&facts);
+        line.platform_age = self.gateway.platform_age();
         let table = self.gateway.table.load_full();
         let Some(table) = table.filter(|_| self.gateway.knows_upstreams()) else {
             line.reason = "no_configuration";
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -20,5 +20,6 @@
 mod tickets;
 
 pub use daemon::run;
+pub use logging::{LineBudget, LineWriter};
 pub use settings::DaemonSettings;
 pub use settings_error::SettingsError;
--- a/crates/anvilhubd/tests/lib.rs
+++ b/crates/anvilhubd/tests/lib.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon, one file a feature.
 
 mod admission_refusals;
+mod bounded_log;
 mod caller_input;
 mod fixture;
 mod hedged_requests;
