Prefer upstreams of the same failure domain more

Change: another domain costs 1.6 usual answer times instead of 0.3; a round of queue still outweighs it.

--- a/crates/anvilhub-coord/src/gateway/replica_rank.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_rank.rs
@@ -30,7 +30,7 @@
 impl Default for ReplicaRank {
     fn default() -> Self {
         Self {
-            domain_cost: 0.3,
+            domain_cost: 1.6,
             jitter: 0.2,
         }
     }
