Allow for the lag of an instance's timers at the cut

Ruled out: the way back, which has its own margin. Change: WakeLag learns how late timers fire, and the cut is earlier by it.

--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod split_wheel;
 mod top_records;
 mod upstream_entry;
+mod wake_lag;
 mod weighted_service;
 
 pub use absence_rule::AbsenceRule;
@@ -43,6 +44,7 @@
 pub use split_wheel::SplitWheel;
 pub use top_records::{RECORD_BYTES, TopRecords};
 pub use upstream_entry::UpstreamEntry;
+pub use wake_lag::WakeLag;
 pub use weighted_service::WeightedService;
 
 /// Result of a route decision.
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -40,3 +40,4 @@
 mod ticket_search;
 mod ticket_table;
 mod upstream_view;
+mod wake_lag;
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -127,7 +127,11 @@
                         self.ended(index, end);
                     }
                 }
-                () = sleep(pause) => self.hedge_due(),
+                () = sleep(pause) => {
+                    let lag = self.waited().saturating_sub(waited + pause);
+                    self.gateway.lag.with(|known| known.observe(lag));
+                    self.hedge_due();
+                }
             }
         }
     }
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{RouteCatalog, UpstreamEntry};
+use anvilhub_coord::gateway::{RouteCatalog, UpstreamEntry, WakeLag};
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::routing::RetryBudget;
 use anvilhub_coord::time::ClockTime;
@@ -45,6 +45,8 @@
     /// When the platform answered last, in microseconds of the clock.
     platform_reached: AtomicU64,
     budget_noted: AtomicU64,
+    /// How late cuts happen.
+    pub(super) lag: RouteCell<WakeLag>,
     /// Wakes requests that wait for the first configuration.
     learned: Notify,
 }
@@ -68,6 +70,7 @@
             is_platform_lost: AtomicBool::new(false),
             platform_reached: AtomicU64::new(0),
             budget_noted: AtomicU64::new(0),
+            lag: RouteCell::default(),
             learned: Notify::new(),
         })
     }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -147,9 +147,10 @@
             line.reason = "no_service";
             return turned_away(QUEUE_TIME, left);
         };
+        let lag = self.gateway.lag.with(|lag| lag.expected());
         let aim_left = rule
             .aim
-            .saturating_sub(settings.answer_margin + line.waited_before);
+            .saturating_sub(settings.answer_margin + lag + line.waited_before);
         let plan = FanPlan {
             services,
             top,
