Leave 10 ms for the way back to a caller

Cause: on the grown deployments half of the cut answers still came within 2 ms after the aim: 6 ms of network and the time in which a small instance writes the answer. Change: answer_margin 10 ms instead of 8.

--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -66,7 +66,7 @@
             most_answer: ByteSize(8 * 1024 * 1024),
             connect_timeout: Duration::from_millis(250),
             drain_time: Duration::from_millis(2_600),
-            answer_margin: Duration::from_millis(8),
+            answer_margin: Duration::from_millis(10),
             extra_load: 0.2,
             extra_window: Duration::from_secs(10),
             extra_slack: 2,
