--- a/crates/anvilhub-coord/src/border/operator.rs
+++ b/crates/anvilhub-coord/src/border/operator.rs
@@ -245,7 +245,7 @@
 ///  ],
 ///  "properties": {
 ///    "alarms": {
-///      "description": "What an operator should look at; see docs/operations.md.",
+///      "description": "What an operator should look at; see docs/OPERATIONS.md.",
 ///      "type": "array",
 ///      "items": {
 ///        "type": "string"
@@ -293,7 +293,7 @@
 /// </details>
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StateReport {
-    ///What an operator should look at; see docs/operations.md.
+    ///What an operator should look at; see docs/OPERATIONS.md.
     pub alarms: ::std::vec::Vec<::std::string::String>,
     pub failure_domain: crate::ids::FailureDomain,
     pub instance: crate::ids::InstanceId,
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -1,5 +1,6 @@
 //! Tests of the coordination library, one file a feature.
 
+mod absence_rule;
 mod acceptance_scenarios;
 mod acceptor_search;
 mod admission_gate;
@@ -24,6 +25,7 @@
 mod replica_gauge;
 mod replica_picker;
 mod replica_rank;
+mod retry_advice;
 mod retry_budget;
 mod scenario;
 mod scenario_files;
@@ -36,8 +38,10 @@
 mod skip_rule;
 mod slot_overflow;
 mod slot_queue;
+mod split_wheel;
 mod start_sample;
 mod ticket_search;
 mod ticket_table;
+mod top_records;
 mod upstream_view;
 mod wake_lag;
--- a/crates/anvilhubd/src/operator/operator_server.rs
+++ b/crates/anvilhubd/src/operator/operator_server.rs
@@ -61,7 +61,7 @@
             (&Method::POST, "/drain") => self.start_drain(),
             (_, path) => text(
                 StatusCode::NOT_FOUND,
-                format!("no resource at {path}; see docs/operations.md\n"),
+                format!("no resource at {path}; see docs/OPERATIONS.md\n"),
             ),
         }
     }
