--- a/crates/anvilhub-cli/src/explain.rs
+++ b/crates/anvilhub-cli/src/explain.rs
@@ -1,3 +1,4 @@
+use std::path::PathBuf;
 use std::time::Duration;
 
 use anvilhub_coord::border::operator::{ExplainReport, ExplainShard};
@@ -7,21 +8,24 @@
 use crate::command_error::{CommandError, Result};
 use crate::exit_status::ExitStatus;
 use crate::instance_client::InstanceClient;
+use crate::log_story::{self, InstanceLog};
 use crate::sheet_file::{print, print_json};
 
 const USAGE: &str = "\
-Explains how an instance would route a request now. Nothing is sent to an upstream.
+Explains how an instance would route a request now, or what became of one. Nothing is sent to an upstream.
 
 Usage: anvilhub explain --instance http://IP:OPERATOR_PORT --service NAME [--key N] [--json]
+       anvilhub explain --request ID LOG...
 
 Options:
+  --request ID     Identifier of a request; LOG are logs of instances on the platform, one file each
   --instance URL   Operator address of the instance
   --service NAME   Service of the request
   --key N          The single key that the request touches; the whole key space without it
   --json           Print the explanation as JSON
   -h, --help       Show this help
 
-Exit codes: 0 every shard has a replica to use; 1 at least one has none; 2 wrong usage; 3 the instance cannot
+Exit codes: 0 every shard has a replica to use, or the request was found; 1 at least one has none, or it was not; 2 wrong usage; 3 the instance cannot
 be reached or does not know the service
 ";
 
@@ -31,6 +35,8 @@
     let mut service: Option<ServiceName> = None;
     let mut key: Option<u64> = None;
     let mut json = false;
+    let mut request = None;
+    let mut logs: Vec<PathBuf> = Vec::new();
     while let Some(argument) = parser.next()? {
         match argument {
             Long("help") | Short('h') => return print(USAGE),
@@ -38,9 +44,14 @@
             Long("service") => service = Some(parser.value()?.parse()?),
             Long("key") => key = Some(parser.value()?.parse()?),
             Long("json") => json = true,
+            Long("request") => request = Some(parser.value()?.string()?),
+            Value(path) if request.is_some() => logs.push(path.into()),
             other => return Err(other.unexpected().into()),
         }
     }
+    if let Some(request) = request {
+        return explain_request(&request, logs);
+    }
     let instance = instance.ok_or_else(|| CommandError::usage("option `--instance` is missing"))?;
     let service = service.ok_or_else(|| CommandError::usage("option `--service` is missing"))?;
     let key = key.map(|key| format!("&key={key}")).unwrap_or_default();
@@ -56,6 +67,29 @@
     }
 }
 
+fn explain_request(request: &str, paths: Vec<PathBuf>) -> Result<ExitStatus> {
+    if paths.is_empty() {
+        return Err(CommandError::usage(
+            "option `--request` needs the logs to search",
+        ));
+    }
+    let read = |path: PathBuf| match std::fs::read_to_string(&path) {
+        Ok(text) => Ok(InstanceLog {
+            name: path.display().to_string(),
+            text,
+        }),
+        Err(source) => Err(CommandError::Read { path, source }),
+    };
+    let logs: Vec<InstanceLog> = paths.into_iter().map(read).collect::<Result<_>>()?;
+    match log_story::tell(request, &logs) {
+        Some(story) => print(&story),
+        None => {
+            print(&format!("request {request} is in none of the logs\n"))?;
+            Ok(ExitStatus::Negative)
+        }
+    }
+}
+
 fn text(report: &ExplainReport) -> String {
     let snapshot = report
         .snapshot
--- a/crates/anvilhub-cli/src/main.rs
+++ b/crates/anvilhub-cli/src/main.rs
@@ -7,6 +7,7 @@
 mod exit_status;
 mod explain;
 mod instance_client;
+mod log_story;
 mod query;
 mod sheet_file;
 mod state;
--- /dev/null
+++ b/crates/anvilhub-cli/tests/explain_request.rs
@@ -0,0 +1,47 @@
+//! Guards against a request whose cause cannot be found from its id.
+
+use crate::tool::anvilhub;
+
+const LOG: &str = r#"{"event":"started","time":"T1","instance":"entry-1"}
+not a line of ours
+{"event":"upstream rests after failures","time":"T2","service":"desk","upstream":"i-1","kind":"Unconnected"}
+{"event":"upstream rests after failures","time":"T3","service":"other","upstream":"i-9","kind":"Unconnected"}
+{"event":"request ended","time":"T4","request":"q-0","status":200,"upstream":"i-1","unfinished":""}
+{"event":"dependency lost","time":"T5","dependency":"platform"}
+{"event":"request ended","time":"T6","request":"q-1","status":504,"upstream":"","unfinished":"desk at i-1: waiting"}
+"#;
+
+fn explain(request: &str) -> (Option<i32>, String) {
+    let path = std::env::temp_dir().join(format!(
+        "anvilhub-explain-{}-{request}.jsonl",
+        std::process::id()
+    ));
+    std::fs::write(&path, LOG).expect("the temporary folder is writable");
+    let run = anvilhub(&[
+        "explain",
+        "--request",
+        request,
+        path.to_str().expect("a plain path"),
+    ]);
+    std::fs::remove_file(&path).expect("the file was written");
+    (run.code, run.output)
+}
+
+#[test]
+fn story_names_cause() {
+    let (code, story) = explain("q-1");
+    assert_eq!(code, Some(0));
+    let times: Vec<&str> = story
+        .lines()
+        .skip(1)
+        .filter_map(|line| line.split_whitespace().next())
+        .collect();
+    assert_eq!(times, ["T1", "T2", "T5", "T6"], "{story}");
+    assert!(story.contains("unfinished=desk at i-1: waiting"), "{story}");
+}
+
+#[test]
+fn unknown_request() {
+    assert_eq!(explain("q-9").0, Some(1));
+    assert_eq!(anvilhub(&["explain", "--request", "q-1"]).code, Some(2));
+}
--- a/crates/anvilhub-cli/tests/lib.rs
+++ b/crates/anvilhub-cli/tests/lib.rs
@@ -2,4 +2,5 @@
 
 mod check_command;
 mod diff_command;
+mod explain_request;
 mod tool;
