Move the choice of hedges to the decisions

No change of behaviour: HedgeRule in anvilhub-coord holds the bound on the queue, with a test; the factor of the skip rule has a name; a pass-through function is gone.

--- a/crates/anvilhub-coord/tests/replica_rank.rs
+++ b/crates/anvilhub-coord/tests/replica_rank.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{DepartureState, RankedReplica, ReplicaRank};
+use anvilhub_coord::gateway::{DepartureState, HedgeRule, RankedReplica, ReplicaRank};
 use anvilhub_coord::time::ClockTime;
 
 const GRACE: Duration = Duration::from_millis(750);
@@ -73,3 +73,16 @@
     assert!(state.set(ClockTime::from_millis(2_000), false));
     assert!(state.is_usable(ClockTime::from_millis(9_000), GRACE));
 }
+
+/// Hedges to upstreams whose slots were taken made the queues of a crest longer.
+#[test]
+fn full_one_gets_no_hedge() {
+    let rule = HedgeRule::default();
+    let with_queue = |queue| RankedReplica {
+        queue,
+        ..replica(1.0)
+    };
+    assert!(rule.allows(&with_queue(0.0)));
+    assert!(rule.allows(&with_queue(0.5)));
+    assert!(!rule.allows(&with_queue(1.0)));
+}
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CutVerdict, GatherCut, PartState, RankedReplica, ReplicaRank, SkipRule, TopRecords,
+    CutVerdict, GatherCut, HedgeRule, PartState, RankedReplica, ReplicaRank, SkipRule, TopRecords,
 };
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::sheet::RepeatPolicy;
@@ -15,8 +15,8 @@
     RunGuard, UpstreamAnswer, UpstreamNode,
 };
 
-/// Rounds of work in front of a hedge above which none is sent: it would come too late and delay others.
-const MOST_HEDGE_QUEUE: f64 = 0.5;
+/// Multiple of the time to the cut after which an expected part is left out: the expectation is rough.
+const SKIP_FACTOR: u32 = 2;
 
 /// How a request is sent to its upstreams.
 pub(super) struct FanPlan {
@@ -141,7 +141,7 @@
         let now = self.gateway.clock.now();
         let cut = &self.plan.cut;
         let rule = SkipRule {
-            time_left: cut.aim_left * 2,
+            time_left: cut.aim_left * SKIP_FACTOR,
             most_skips: self.parts.len().saturating_sub(cut.least_parts),
         };
         if rule.most_skips == 0 || rule.time_left.is_zero() {
@@ -185,7 +185,7 @@
         let Some((node, ranked)) = self.choose(index, now) else {
             return false;
         };
-        if cause == SendCause::Hedge && ranked.queue > MOST_HEDGE_QUEUE {
+        if cause == SendCause::Hedge && !HedgeRule::default().allows(&ranked) {
             return false;
         }
         let part = &mut self.parts[index];
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -14,7 +14,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 
-use crate::caller::{CallerHandler, CallerServer, ServerLimits};
+use crate::caller::{CallerServer, ServerLimits};
 use crate::lifecycle::InstanceLifecycle;
 use crate::logging;
 
@@ -89,7 +89,7 @@
             lifecycle
         })
         .map_err(|error| start_error("stop thread", &error))?;
-    runtime.block_on(serve(server, callers, stop));
+    runtime.block_on(server.serve(callers, stop));
     if let Ok(lifecycle) = stopping.join() {
         lifecycle.stop();
     }
@@ -97,14 +97,6 @@
     Ok(())
 }
 
-async fn serve<H: CallerHandler>(
-    server: CallerServer<H>,
-    listener: TcpListener,
-    stop: watch::Receiver<bool>,
-) {
-    server.serve(listener, stop).await;
-}
-
 /// Drops upstreams whose absence has become certain, and keeps connections to the others open.
 async fn review(gateway: Arc<Gateway>) {
     let warmer = LinkWarmer::new(Arc::clone(&gateway));
--- a/crates/anvilhubd/src/gateway/upstream_node.rs
+++ b/crates/anvilhubd/src/gateway/upstream_node.rs
@@ -1,8 +1,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use anvilhub_coord::gateway::{DepartureState, RankedReplica, ReplicaGauge, UpstreamEntry};
 use anvilhub_coord::time::ClockTime;
-use std::time::Duration;
 use tokio::sync::Semaphore;
 
 use crate::routes::RouteCell;
