--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -2,53 +2,24 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CutVerdict, GatherCut, HedgeRule, PartState, RankedReplica, ReplicaRank, SkipRule, TopRecords,
+    CutVerdict, HedgeRule, PartState, RankedReplica, ReplicaRank, SkipRule, TopRecords,
 };
-use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::sleep;
 
 use super::{
-    AttemptEnd, AttemptRun, FanOutcome, FanPart, ForwardRequest, Gateway, PartOutcome, RouteState,
-    RunGuard, UpstreamAnswer, UpstreamNode,
+    AttemptEnd, AttemptRun, FanOutcome, FanPart, FanPlan, ForwardRequest, Gateway, PartOutcome,
+    RouteState, RunGuard, SendCause, UpstreamAnswer, UpstreamNode,
 };
 
 /// Multiple of the time to the cut after which an expected part is left out: the expectation is rough.
 const SKIP_FACTOR: u32 = 2;
 
-/// How a request is sent to its upstreams.
-pub(super) struct FanPlan {
-    /// The services that each have a part.
-    pub(super) services: Vec<ServiceName>,
-    /// Records to keep; `None` when the only answer is passed on as it is.
-    pub(super) top: Option<usize>,
-    pub(super) repeat: RepeatPolicy,
-    /// Most upstreams of a part.
-    pub(super) most_attempts: u32,
-    pub(super) cut: GatherCut,
-    /// Usual time of an answer.
-    pub(super) usual: Duration,
-    /// Time after which a hedge is sent.
-    pub(super) hedge_delay: Duration,
-    pub(super) arrived: ClockTime,
-}
-
 /// Index of a part, and how an attempt at it ended.
 type PartEnd = (usize, AttemptEnd);
 
-/// Why an attempt is made.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum SendCause {
-    First,
-    Hedge,
-    /// After an attempt that may have arrived.
-    Retry,
-    /// After an attempt that was not sent.
-    Resend,
-}
-
 /// Sends a request to one upstream of each part, again where needed, and joins what comes back.
 pub(super) struct FanRun {
     gateway: Arc<Gateway>,
