Take no answer that names no request on a kept connection

Cause: an upstream may send a second answer to an earlier request, which arrives where the next answer is expected. An answer without a request id was taken for the present request's; with "not run" it could make a request that must not repeat run twice, or be refused although it runs. Test: stray_refusal_is_not_believed failed before (503 for a request that may have run), passes now; nameless_refusal_is_sent_elsewhere keeps the case of a new connection.

--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -35,6 +35,15 @@
     pub(super) deadline: ClockTime,
 }
 
+/// A connection that can take a request.
+struct ReadyLink {
+    connection: UpstreamConnection,
+    /// When it was opened or last proved to work.
+    opened: ClockTime,
+    /// Whether it carried a request before.
+    is_kept: bool,
+}
+
 impl AttemptRun {
     pub(super) async fn run(self) -> AttemptEnd {
         let guard = AttemptGuard::new(Arc::clone(&self.node), self.gateway.clock, self.usual);
@@ -60,8 +69,12 @@
             return not_sent("every connection of this instance's share is in use");
         };
         let _permit = permit.expect("the semaphore stays open");
-        let (mut connection, opened) = match self.connect().await {
-            Ok(connected) => connected,
+        let ReadyLink {
+            mut connection,
+            opened,
+            is_kept,
+        } = match self.connect().await {
+            Ok(link) => link,
             Err(reason) => return not_sent(&reason),
         };
         let now = self.gateway.clock.now();
@@ -82,7 +95,7 @@
         let now = self.gateway.clock.now();
         match sent {
             Ok(Ok((head, body))) => {
-                let end = self.classify(now, head, body);
+                let end = self.classify(now, is_kept, head, body);
                 let is_clean = matches!(
                     end,
                     AttemptEnd::Answered(_)
@@ -107,8 +120,7 @@
         }
     }
 
-    /// A connection, and when it was opened or last proved to work.
-    async fn connect(&self) -> Result<(UpstreamConnection, ClockTime), String> {
+    async fn connect(&self) -> Result<ReadyLink, String> {
         let now = self.gateway.clock.now();
         let most_rest = match self.repeat {
             RepeatPolicy::Idempotent => Duration::MAX,
@@ -116,7 +128,11 @@
         };
         while let Some(mut connection) = self.node.shelf.with(|shelf| shelf.take(now, most_rest)) {
             if connection.is_ready().await {
-                return Ok((connection, now));
+                return Ok(ReadyLink {
+                    connection,
+                    opened: now,
+                    is_kept: true,
+                });
             }
         }
         let most = self
@@ -128,7 +144,11 @@
             Ok(Ok(mut connection)) => {
                 metrics::counter!("anvilhub_upstream_connections_total").increment(1);
                 match connection.is_ready().await {
-                    true => Ok((connection, self.gateway.clock.now())),
+                    true => Ok(ReadyLink {
+                        connection,
+                        opened: self.gateway.clock.now(),
+                        is_kept: false,
+                    }),
                     false => Err("the new connection was closed at once".to_owned()),
                 }
             }
@@ -137,14 +157,15 @@
         }
     }
 
-    fn classify(&self, now: ClockTime, head: Parts, body: Bytes) -> AttemptEnd {
+    fn classify(&self, now: ClockTime, is_kept: bool, head: Parts, body: Bytes) -> AttemptEnd {
         let facts = self.gateway.wire.read_answer(head.status, &head.headers);
-        let is_other = facts
-            .request
-            .as_ref()
-            .is_some_and(|request| *request != self.request.id);
-        if is_other {
-            return unknown("the answer belongs to another request");
+        match &facts.request {
+            Some(request) if *request != self.request.id => {
+                return unknown("the answer belongs to another request");
+            }
+            // It may be a second answer to the request before.
+            None if is_kept => return unknown("the answer on a kept connection names no request"),
+            Some(_) | None => {}
         }
         if let Some(load) = facts.load {
             self.node.gauge.with(|gauge| gauge.stated(now, load));
