--- a/crates/anvilhub-coord/src/gateway/absence_rule.rs
+++ b/crates/anvilhub-coord/src/gateway/absence_rule.rs
@@ -18,7 +18,7 @@
 impl AbsenceRule {
     /// Notes that the store could not be read at `now`.
     pub fn store_away(&mut self, now: ClockTime) {
-        self.away_until = Some(now);
+        self.away_until = self.away_until.max(Some(now));
     }
 
     /// Time at which an entry that is found missing at `now` counts as gone.
--- /dev/null
+++ b/crates/anvilhubd/src/fleet/fleet_node.rs
@@ -0,0 +1,273 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhub_coord::fleet::{
+    FeedLog, FeedNews, FeedRole, FleetTable, HeardNote, MemberNote, ReaderRule, RelayRule,
+};
+use anvilhub_coord::ids::{Incarnation, InstanceId};
+use anvilhub_coord::time::ClockTime;
+use jsonrpsee::core::client::Client;
+use log::{info, warn};
+use rand::Rng;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
+
+use crate::clock::DaemonClock;
+use crate::gateway::GatewaySettings;
+use crate::peer::{PeerClients, PeerError};
+use crate::routes::RouteCell;
+
+use super::{FleetApiClient, FleetSettings, FollowAnswer, FollowCall};
+
+/// What this instance knows of the others and of the platform's values.
+pub(crate) struct FleetNode {
+    pub(crate) settings: FleetSettings,
+    pub(crate) clients: PeerClients,
+    clock: DaemonClock,
+    table: RouteCell<FleetTable>,
+    feed: RouteCell<NodeFeed>,
+    /// Wakes followers that wait for news.
+    changed: Notify,
+}
+
+/// The platform's values, and when they were confirmed.
+#[derive(Debug, Default)]
+struct NodeFeed {
+    log: FeedLog,
+    reached: Option<ClockTime>,
+    away: Option<ClockTime>,
+    is_lost: bool,
+}
+
+impl FleetNode {
+    pub(crate) fn new(settings: &GatewaySettings, clock: DaemonClock) -> Arc<Self> {
+        let fleet = settings.fleet.clone();
+        let own = MemberNote {
+            instance: settings.instance.clone(),
+            incarnation: Incarnation(rand::random()),
+            failure_domain: settings.failure_domain.clone(),
+            cores: fleet.cores,
+            peer_address: fleet.peer_address,
+            relay_address: fleet.relay_address,
+            is_leaving: false,
+        };
+        Arc::new(Self {
+            clients: PeerClients::new(fleet.call_patience),
+            settings: fleet,
+            clock,
+            table: RouteCell::new(FleetTable::new(own)),
+            feed: RouteCell::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    pub(crate) fn own(&self) -> MemberNote {
+        self.table.with(|table| table.own().clone())
+    }
+
+    /// Tells other instances that this one ends soon.
+    pub(crate) fn leave(&self) {
+        self.table.with(FleetTable::leave);
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) fn hear(&self, notes: Vec<HeardNote>) {
+        let now = self.clock.now();
+        self.table.with(|table| {
+            for note in notes {
+                table.hear(now, note);
+            }
+        });
+    }
+
+    pub(crate) fn hear_member(&self, note: MemberNote) {
+        let now = self.clock.now();
+        self.table.with(|table| table.hear_member(now, note));
+    }
+
+    /// Notes that an instance did not answer.
+    pub(crate) fn doubt(&self, instance: &InstanceId, reason: &dyn std::fmt::Display) {
+        let now = self.clock.now();
+        if self.table.with(|table| table.doubt(now, instance)) {
+            warn!(peer:% = instance; "dependency lost: {reason}");
+        }
+    }
+
+    pub(crate) fn notes(&self) -> Vec<HeardNote> {
+        let now = self.clock.now();
+        self.table.with(|table| table.notes(now))
+    }
+
+    pub(crate) fn has_news(&self) -> bool {
+        self.feed
+            .with(|feed| feed.log.as_of().is_some() && !feed.is_lost)
+    }
+
+    /// Whether this instance reads the platform or asks another one.
+    pub(crate) fn role(&self) -> FeedRole {
+        let now = self.clock.now();
+        let random = |count| rand::rng().random_range(0..count);
+        self.table
+            .with(|table| ReaderRule::default().role(table, now, random))
+    }
+
+    /// An instance of another failure domain to exchange notes with.
+    pub(crate) fn far_reader(&self) -> Option<MemberNote> {
+        let now = self.clock.now();
+        self.table.with(|table| {
+            let readers = ReaderRule::default().far_readers(table, now);
+            let index = rand::rng().random_range(0..readers.len().max(1));
+            readers.get(index).map(|note| (*note).clone())
+        })
+    }
+
+    /// The instance that gathers `parts` parts for this one; none when this one does so itself.
+    pub(crate) fn relay(&self, parts: usize) -> Option<MemberNote> {
+        let rule = RelayRule::default();
+        if !rule.wants(parts) {
+            return None;
+        }
+        let now = self.clock.now();
+        self.table.with(|table| {
+            let members = table.usable(now);
+            rule.choose(table.own(), members, rand::random()).cloned()
+        })
+    }
+
+    /// The revision up to which this instance knows everything.
+    pub(crate) fn as_of(&self) -> Option<anvilhub_coord::ids::PlatformRevision> {
+        self.feed.with(|feed| feed.log.as_of())
+    }
+
+    /// Notes that this instance did not reach the platform.
+    pub(crate) fn platform_lost(&self) {
+        let now = self.clock.now();
+        self.table.with(|table| table.note_own_blind(now));
+        self.feed.with(|feed| {
+            feed.is_lost = true;
+            feed.away = Some(now);
+        });
+        self.changed.notify_waiters();
+    }
+
+    /// Asks an instance for a sign of life.
+    pub(crate) async fn ping(
+        &self,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> Result<(), PeerError> {
+        let ping = |client: Arc<Client>| async move { client.ping().await };
+        self.clients.call(address, patience, ping).await
+    }
+
+    /// Takes in what the platform answered, and returns what it changes.
+    pub(crate) fn platform_answered(&self, news: FeedNews) -> Option<FeedNews> {
+        let now = self.clock.now();
+        let is_known = self.has_news() && news.records.is_empty();
+        let changes = self.feed.with(|feed| {
+            feed.reached = Some(now);
+            feed.is_lost = false;
+            feed.log.take(news)
+        });
+        if !is_known {
+            self.changed.notify_waiters();
+        }
+        changes
+    }
+
+    /// Takes in a reader's answer.
+    pub(super) fn reader_answered(&self, answer: FollowAnswer) -> ReaderNews {
+        let now = self.clock.now();
+        let age = answer.platform_age_ms.map(Duration::from_millis);
+        let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
+        let is_lost = answer.is_platform_lost || !is_fresh;
+        let away = answer
+            .away_age_ms
+            .map(|age| now - Duration::from_millis(age));
+        self.table.with(|table| {
+            if is_lost {
+                table.note_blind(now, &answer.own.instance);
+            }
+            table.hear_member(now, answer.own);
+            for note in answer.notes {
+                table.hear(now, note);
+            }
+        });
+        let changes = self.feed.with(|feed| {
+            if let Some(age) = age {
+                feed.reached = feed.reached.max(Some(now - age));
+            }
+            feed.is_lost = is_lost;
+            feed.away = feed.away.max(away);
+            answer.news.and_then(|news| feed.log.take(news))
+        });
+        self.changed.notify_waiters();
+        ReaderNews {
+            changes,
+            away_age: away.map(|away| now.since(away)),
+            age: if is_lost { None } else { age },
+        }
+    }
+
+    pub(crate) fn is_platform_lost(&self) -> bool {
+        self.feed.with(|feed| feed.is_lost)
+    }
+
+    /// The answer to a follower, once there is something that it does not know, or after `wait`.
+    pub(crate) async fn answer_follower(&self, call: &FollowCall, wait: Duration) -> FollowAnswer {
+        let end = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            let answer = self.follow_answer(call);
+            let is_known = answer.news.is_none()
+                && answer.is_platform_lost == call.is_platform_lost
+                && !answer.own.is_leaving;
+            if !is_known || timeout_at(end, changed).await.is_err() {
+                return answer;
+            }
+        }
+    }
+
+    fn follow_answer(&self, call: &FollowCall) -> FollowAnswer {
+        let now = self.clock.now();
+        let millis = |time: Option<ClockTime>| {
+            time.map(|time| u64::try_from(now.since(time).as_millis()).unwrap_or(u64::MAX))
+        };
+        let notes = match call.wants_notes {
+            true => self.notes(),
+            false => Vec::new(),
+        };
+        let own = self.own();
+        self.feed.with(|feed| FollowAnswer {
+            own,
+            news: feed.log.since(call.after),
+            platform_age_ms: millis(feed.reached),
+            is_platform_lost: feed.is_lost,
+            away_age_ms: millis(feed.away),
+            notes,
+        })
+    }
+
+    /// Logs the role when it has changed.
+    pub(super) fn note_role(&self, before: Option<&FeedRole>, role: &FeedRole) {
+        match (before, role) {
+            (Some(FeedRole::Reader), FeedRole::Reader) => {}
+            (_, FeedRole::Reader) => info!("this instance reads the platform"),
+            (Some(FeedRole::Follower(known)), FeedRole::Follower(source))
+                if known.instance == source.instance => {}
+            (_, FeedRole::Follower(source)) => {
+                info!(peer:% = source.instance; "this instance follows a reader of the platform");
+            }
+        }
+    }
+}
+
+/// What a reader's answer changes.
+pub(super) struct ReaderNews {
+    pub(super) changes: Option<FeedNews>,
+    /// Time since the platform was last found to be away.
+    pub(super) away_age: Option<Duration>,
+    /// Time since the platform answered; none when that is too long ago.
+    pub(super) age: Option<Duration>,
+}
--- /dev/null
+++ b/crates/anvilhubd/src/fleet/fleet_server.rs
@@ -0,0 +1,62 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvilhub_coord::fleet::HeardNote;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+
+use crate::peer::MAX_MESSAGE_BYTES;
+
+use super::{ExchangeAnswer, FleetApiServer, FleetNode, FollowAnswer, FollowCall};
+
+/// Connections from other instances at once; each holds one, or two while it replaces a silent one.
+const MOST_CONNECTIONS: u32 = 4_096;
+/// Longest wait of a call for news.
+const MOST_WAIT: Duration = Duration::from_secs(2);
+
+/// Answers other instances.
+pub(crate) struct FleetServer {
+    node: Arc<FleetNode>,
+}
+
+impl FleetServer {
+    pub(crate) fn new(node: Arc<FleetNode>) -> Self {
+        Self { node }
+    }
+
+    /// Listens on the peer address. The server stops when the handle is dropped.
+    pub(crate) async fn start(self) -> std::io::Result<ServerHandle> {
+        let config = ServerConfig::builder()
+            .max_request_body_size(MAX_MESSAGE_BYTES)
+            .max_response_body_size(MAX_MESSAGE_BYTES)
+            .max_connections(MOST_CONNECTIONS)
+            .build();
+        let server = Server::builder()
+            .set_config(config)
+            .build(self.node.settings.peer_address)
+            .await?;
+        Ok(server.start(self.into_rpc()))
+    }
+}
+
+#[async_trait]
+impl FleetApiServer for FleetServer {
+    async fn exchange(&self, notes: Vec<HeardNote>) -> Result<ExchangeAnswer, ErrorObjectOwned> {
+        self.node.hear(notes);
+        Ok(ExchangeAnswer {
+            notes: self.node.notes(),
+            has_news: self.node.has_news(),
+        })
+    }
+
+    async fn follow(&self, call: FollowCall) -> Result<FollowAnswer, ErrorObjectOwned> {
+        let wait = Duration::from_millis(call.wait_ms).min(MOST_WAIT);
+        self.node.hear_member(call.own.clone());
+        Ok(self.node.answer_follower(&call, wait).await)
+    }
+
+    async fn ping(&self) -> Result<(), ErrorObjectOwned> {
+        Ok(())
+    }
+}
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::clock::DaemonClock;
+use crate::fleet::FleetNode;
 use crate::lifecycle::{LifecycleStage, StageCell};
 use crate::routes::RouteCell;
 
@@ -36,6 +37,7 @@
     pub(super) wire: Arc<dyn GatewayWire>,
     pub(super) clock: DaemonClock,
     pub(super) stage: StageCell,
+    pub(crate) fleet: Arc<FleetNode>,
     pub(super) table: ArcSwapOption<ServingTable>,
     pub(super) groups: ArcSwap<GroupMap>,
     feed: RouteCell<UpstreamFeed>,
@@ -57,10 +59,12 @@
         wire: Arc<dyn GatewayWire>,
         stage: StageCell,
     ) -> Arc<Self> {
+        let clock = DaemonClock::start();
         Arc::new(Self {
+            fleet: FleetNode::new(&settings, clock),
             settings,
             wire,
-            clock: DaemonClock::start(),
+            clock,
             stage,
             table: ArcSwapOption::empty(),
             groups: ArcSwap::default(),
@@ -125,6 +129,19 @@
         }
     }
 
+    /// Notes that a reader of the platform had an answer `age` ago.
+    pub(crate) fn note_platform_through(&self, age: Duration) {
+        self.note_platform(PlatformLink::Reached);
+        let reached = self.clock.now() - age;
+        self.platform_reached.store(reached.0, Ordering::Release);
+    }
+
+    /// Notes that the platform was away `age` ago: entries that lapsed meanwhile may come back.
+    pub(crate) fn note_away(&self, age: Duration) {
+        let away = self.clock.now() - age;
+        self.feed.with(|feed| feed.list_away(away));
+    }
+
     /// Time since the platform answered last: the age of the configuration and the list.
     pub(super) fn platform_age(&self) -> Duration {
         let reached = ClockTime(self.platform_reached.load(Ordering::Acquire));
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -15,12 +15,13 @@
 use tokio::sync::watch;
 
 use crate::caller::{CallerServer, ServerLimits};
+use crate::fleet::{FleetBeat, FleetServer, NewsThread, PlatformFeed};
 use crate::lifecycle::InstanceLifecycle;
 use crate::logging;
 
 use super::{
     Gateway, GatewayError, GatewayHandler, GatewaySettings, GatewayWire, LinkWarmer, ReadyHandler,
-    Result,
+    RelayHandler, Result,
 };
 
 /// How often upstreams whose entry is missing are reviewed, and missing connections opened.
@@ -32,7 +33,7 @@
 /// Most connections that ask for readiness or metrics.
 const MOST_OPERATOR_CONNECTIONS: usize = 16;
 
-/// Runs a gateway until a planned stop. `feed` starts what hands over routes and upstreams.
+/// Runs a gateway until a planned stop. `feed` reads routes and upstreams.
 ///
 /// # Errors
 ///
@@ -40,7 +41,7 @@
 pub fn run_gateway(
     settings: GatewaySettings,
     wire: Arc<dyn GatewayWire>,
-    feed: impl FnOnce(Arc<Gateway>) -> std::io::Result<()>,
+    feed: impl PlatformFeed,
 ) -> Result<()> {
     let _logger = logging::start_bounded(settings.log_level)
         .map_err(|error| start_error("logger", &error))?;
@@ -60,7 +61,22 @@
     let callers = listen(&runtime, gateway.settings.caller_address, "callers")?;
     let ready = listen(&runtime, gateway.settings.ready_address, "readiness")?;
     serve_metrics(gateway.settings.metrics_address, metrics)?;
-    feed(Arc::clone(&gateway)).map_err(|error| start_error("platform feed", &error))?;
+    let relayed = listen(
+        &runtime,
+        gateway.settings.fleet.relay_address,
+        "passed-on requests",
+    )?;
+    let peer_server = FleetServer::new(Arc::clone(&gateway.fleet));
+    let _peer_handle =
+        runtime
+            .block_on(peer_server.start())
+            .map_err(|error| GatewayError::Listen {
+                address: gateway.settings.fleet.peer_address,
+                purpose: "other instances",
+                reason: error.to_string(),
+            })?;
+    NewsThread::spawn(feed, Arc::clone(&gateway), runtime.handle().clone())
+        .map_err(|error| start_error("news thread", &error))?;
     let lifecycle = lifecycle.serve();
 
     let ready_server = CallerServer::new(
@@ -72,11 +88,20 @@
     let (_ready_sender, ready_stop) = watch::channel(false);
     runtime.spawn(async move { ready_server.serve(ready, ready_stop).await });
     runtime.spawn(review(Arc::clone(&gateway)));
+    let beat = FleetBeat::new(Arc::clone(&gateway.fleet));
+    runtime.spawn(async move { beat.run().await });
+    let relay_server = CallerServer::new(
+        Arc::new(RelayHandler::new(Arc::clone(&gateway))),
+        limits(gateway.settings.most_caller_connections),
+    );
+    let relay_stop = stop.clone();
+    let relay_task = runtime.spawn(async move { relay_server.serve(relayed, relay_stop).await });
     let server = CallerServer::new(
         Arc::new(GatewayHandler::new(Arc::clone(&gateway))),
         limits(gateway.settings.most_caller_connections),
     );
     let drain_time = gateway.settings.drain_time;
+    let fleet = Arc::clone(&gateway.fleet);
     let stopping = std::thread::Builder::new()
         .name("stop".to_owned())
         .spawn(move || {
@@ -84,12 +109,17 @@
             let _ = signals.recv();
             info!("draining");
             let lifecycle = lifecycle.drain();
+            fleet.leave();
             std::thread::sleep(drain_time);
             let _ = stop_sender.send(true);
             lifecycle
         })
         .map_err(|error| start_error("stop thread", &error))?;
-    runtime.block_on(server.serve(callers, stop));
+    runtime.block_on(async {
+        server.serve(callers, stop).await;
+        // A task that panicked has ended too.
+        let _ = relay_task.await;
+    });
     if let Ok(lifecycle) = stopping.join() {
         lifecycle.stop();
     }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
@@ -16,8 +16,8 @@
 
 use super::forward_request::remove_connection_headers;
 use super::{
-    FanOutcome, FanPlan, FanRun, ForwardRequest, Gateway, RequestFacts, RequestLine, ServingTable,
-    UpstreamAnswer,
+    FanOutcome, FanPlan, FanRun, ForwardRequest, Gateway, RelayEnd, RelayHead, RelayRun,
+    RequestFacts, RequestLine, ServingTable,
 };
 
 /// How long a request waits for the first configuration after a start; two reads of the store take less.
@@ -42,14 +42,7 @@
 
 impl CallerHandler for GatewayHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let arrived = self.gateway.clock.now();
-        let HandledRequest { mut response, line } = self.answer(arrived, request).await;
-        if self.gateway.is_draining() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
-        line.write(response.status(), self.gateway.clock.now().since(arrived));
-        response
+        self.answer_passed_on(request, None).await
     }
 }
 
@@ -58,10 +51,33 @@
         Self { gateway }
     }
 
-    async fn answer(&self, arrived: ClockTime, request: Request<Incoming>) -> HandledRequest {
+    /// Answers a caller's request; `relayed` when another instance passes it on.
+    pub(super) async fn answer_passed_on(
+        &self,
+        request: Request<Incoming>,
+        relayed: Option<RelayHead>,
+    ) -> Response<Full<Bytes>> {
+        let waited = relayed.map_or(Duration::ZERO, |head| head.waited);
+        let arrived = self.gateway.clock.now() - waited;
+        let HandledRequest { mut response, line } = self.answer(arrived, request, relayed).await;
+        if self.gateway.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        line.write(response.status(), self.gateway.clock.now().since(arrived));
+        response
+    }
+
+    async fn answer(
+        &self,
+        arrived: ClockTime,
+        request: Request<Incoming>,
+        relayed: Option<RelayHead>,
+    ) -> HandledRequest {
         let facts = self.gateway.wire.read_request(request.headers());
         let mut line = RequestLine::new(&facts);
         line.platform_age = self.gateway.platform_age();
+        line.is_passed_on = relayed.is_some();
         let left = facts.time_left.unwrap_or(UNSTATED_TIME);
         let patience = LEARNING_PATIENCE.min(left / 4);
         let Some(table) = self.gateway.learned_table(patience).await else {
@@ -86,7 +102,7 @@
         };
         let request = forward_request(head, target, &facts, body);
         let response = self
-            .forward(arrived, &table, index, request, facts, &mut line)
+            .forward(arrived, &table, index, request, facts, relayed, &mut line)
             .await;
         HandledRequest { response, line }
     }
@@ -127,6 +143,7 @@
         index: usize,
         request: ForwardRequest,
         facts: RequestFacts,
+        relayed: Option<RelayHead>,
         line: &mut RequestLine,
     ) -> Response<Full<Bytes>> {
         let rule = &table.catalog.rules()[index];
@@ -136,9 +153,12 @@
         let left = stated
             .saturating_sub(settings.answer_margin)
             .min(rule.timeout);
-        line.waited_before = state
-            .aim
-            .with(|aim| aim.waited_before(stated, rule.timeout));
+        line.waited_before = match relayed {
+            Some(head) => head.waited_before,
+            None => state
+                .aim
+                .with(|aim| aim.waited_before(stated, rule.timeout)),
+        };
         let (usual, hedge_delay) = state.delays(rule.aim, settings.hedge_quantile);
         line.hedge_delay = hedge_delay;
         let Some((services, top)) =
@@ -147,6 +167,37 @@
             line.reason = "no_service";
             return turned_away(QUEUE_TIME, left);
         };
+        let request = Arc::new(request);
+        let mut is_repeat = false;
+        if let (RouteTarget::Gather(gather), None) = (&rule.target, relayed)
+            && let Some(relay) = self.gateway.fleet.relay(gather.shards.len())
+        {
+            line.relay = relay.instance.to_string();
+            let run = RelayRun {
+                gateway: Arc::clone(&self.gateway),
+                relay,
+                request: Arc::clone(&request),
+                head: RelayHead {
+                    version: table.catalog.version,
+                    waited: Duration::ZERO,
+                    waited_before: line.waited_before,
+                },
+                arrived,
+                doubt_time: rule.aim,
+                time_left: left,
+            };
+            match run.run().await {
+                RelayEnd::Answered(head, body) => {
+                    line.reason = "relayed";
+                    return passed_on(head.status, head.headers, body);
+                }
+                RelayEnd::NotSent(reason) => line.relay_fault = reason,
+                RelayEnd::Lost(reason) => {
+                    line.relay_fault = reason;
+                    is_repeat = true;
+                }
+            }
+        }
         let lag = self.gateway.lag.with(|lag| lag.expected());
         let aim_left = rule
             .aim
@@ -164,13 +215,9 @@
             usual,
             hedge_delay,
             arrived,
+            is_repeat,
         };
-        let run = FanRun::new(
-            Arc::clone(&self.gateway),
-            Arc::new(request),
-            Arc::clone(state),
-            plan,
-        );
+        let run = FanRun::new(Arc::clone(&self.gateway), request, Arc::clone(state), plan);
         let outcome = run.run().await;
         line.take_outcome(&outcome);
         self.respond(rule, outcome, left, line)
@@ -193,7 +240,7 @@
                 true => "answered",
                 false => "failed_at_upstream",
             };
-            return passed_on(answer);
+            return passed_on(answer.status, answer.headers, answer.body);
         }
         match (outcome.may_have_run, outcome.is_late) {
             (false, _) => {
@@ -292,10 +339,9 @@
     }
 }
 
-fn passed_on(answer: UpstreamAnswer) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(answer.body));
-    *response.status_mut() = answer.status;
-    let mut headers = answer.headers;
+fn passed_on(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
     remove_connection_headers(&mut headers);
     *response.headers_mut() = headers;
     response
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -4,6 +4,8 @@
 use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId};
 use log::LevelFilter;
 
+use crate::fleet::FleetSettings;
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -48,6 +50,8 @@
     pub leaving_grace: Duration,
     /// How long an attempt that lost against another may go on, so that its connection is kept.
     pub loser_time: Duration,
+    /// How this instance acts together with others.
+    pub fleet: FleetSettings,
 }
 
 impl GatewaySettings {
@@ -74,6 +78,7 @@
             connection_sharers: 10,
             leaving_grace: Duration::from_millis(500),
             loser_time: Duration::from_millis(250),
+            fleet: FleetSettings::default(),
         }
     }
 }
--- a/crates/anvilhubd/src/gateway/link_warmer.rs
+++ b/crates/anvilhubd/src/gateway/link_warmer.rs
@@ -36,7 +36,8 @@
         let Some(table) = table.as_ref() else {
             return;
         };
-        for service in table.routed_services() {
+        let fleet = &self.gateway.fleet;
+        for service in table.sent_services(|parts| fleet.relay(parts).is_some()) {
             let groups = self.gateway.groups.load();
             let Some(group) = groups.get(service) else {
                 continue;
--- a/crates/anvilhubd/src/gateway/request_line.rs
+++ b/crates/anvilhubd/src/gateway/request_line.rs
@@ -23,6 +23,12 @@
     pub(super) hedge_delay: Duration,
     pub(super) platform_age: Duration,
     pub(super) reason: &'static str,
+    /// The instance that gathered the parts on behalf of this one.
+    pub(super) relay: String,
+    /// Why that instance did not answer.
+    pub(super) relay_fault: String,
+    /// Whether another instance passed the request on.
+    pub(super) is_passed_on: bool,
     parts: usize,
     done: usize,
     extra: u32,
@@ -102,7 +108,10 @@
             done = self.done,
             extra = self.extra,
             upstream = self.upstream.as_str(),
-            unfinished = self.unfinished.as_str();
+            unfinished = self.unfinished.as_str(),
+            relay = self.relay.as_str(),
+            relay_fault = self.relay_fault.as_str(),
+            passed_on = self.is_passed_on;
             "request ended"
         );
         let labels = [
--- a/crates/anvilhubd/src/gateway/serving_table.rs
+++ b/crates/anvilhubd/src/gateway/serving_table.rs
@@ -28,9 +28,20 @@
         Self { catalog, states }
     }
 
-    /// The services that routes name, each once.
-    pub(super) fn routed_services(&self) -> BTreeSet<&ServiceName> {
+    /// The services to which requests are sent, each once. `passes_on` says whether a gathered request with so many
+    /// parts is left to another instance.
+    pub(super) fn sent_services(
+        &self,
+        passes_on: impl Fn(usize) -> bool,
+    ) -> BTreeSet<&ServiceName> {
         let targets = self.catalog.rules().iter().map(|rule| &rule.target);
-        targets.flat_map(RouteTarget::services).collect()
+        let is_sent = |target: &&RouteTarget| match target {
+            RouteTarget::Gather(gather) => !passes_on(gather.shards.len()),
+            RouteTarget::Service(_) | RouteTarget::Split(_) => true,
+        };
+        targets
+            .filter(is_sent)
+            .flat_map(RouteTarget::services)
+            .collect()
     }
 }
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod fanout;
 mod filters;
+pub mod fleet;
 pub mod gateway;
 mod lifecycle;
 mod logging;
--- a/crates/anvilhubd/src/peer/peer_clients.rs
+++ b/crates/anvilhubd/src/peer/peer_clients.rs
@@ -64,6 +64,11 @@
         result
     }
 
+    /// Closes the connection to the peer at `address` once its calls are answered.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<Arc<Client>> {
         let known = self.lock().get(&address).cloned();
         if let Some(client) = known.filter(|client| client.is_connected()) {
