--- a/crates/anvilhub-coord/src/fleet/reader_rule.rs
+++ b/crates/anvilhub-coord/src/fleet/reader_rule.rs
@@ -8,18 +8,20 @@
 
 /// Decides whether an instance reads the platform or asks another one.
 ///
-/// Answers the load of many instances that each read the same values: the largest instances of each failure domain
-/// read, and the others follow one of them. An instance whose readers are silent or do not reach the platform
-/// follows one of another domain, and reads itself when there is none.
+/// Answers the load of many instances that each read the same values: the largest instance of each failure domain
+/// reads, and the others follow it. When it is silent or does not reach the platform, the next largest reads; after
+/// that an instance follows the reader of another domain, and reads itself when there is none.
 #[derive(Clone, Copy, Debug)]
 pub struct ReaderRule {
-    /// Readers of a failure domain.
-    pub readers: usize,
+    /// Instances of the own failure domain that may read. While nobody reaches the platform, each is asked in vain.
+    pub near: usize,
+    /// Instances of each other failure domain that may read.
+    pub far: usize,
 }
 
 impl Default for ReaderRule {
     fn default() -> Self {
-        Self { readers: 1 }
+        Self { near: 2, far: 1 }
     }
 }
 
@@ -32,50 +34,52 @@
         random: impl FnOnce(usize) -> usize,
     ) -> FeedRole {
         let own = table.own();
-        let is_blind = table.is_own_blind(now);
-        let mut domains: BTreeMap<&FailureDomain, Vec<&MemberNote>> = BTreeMap::new();
-        for note in table.usable(now).chain([own]) {
-            domains.entry(&note.failure_domain).or_default().push(note);
-        }
-        let mut near = Vec::new();
-        let mut far = Vec::new();
-        for (domain, mut members) in domains {
-            sort_by_rank(&mut members);
-            let readers = members.into_iter().take(self.readers);
-            match *domain == own.failure_domain {
-                true => near.extend(readers),
-                false => far.extend(readers),
-            }
-        }
-        let is_reader = near.iter().any(|note| note.instance == own.instance);
-        if is_reader && !is_blind && !own.is_leaving {
-            return FeedRole::Reader;
-        }
-        let sees = |note: &&&MemberNote| {
-            note.instance != own.instance && table.has_sight(now, &note.instance)
+        let can_read = !table.is_own_blind(now) && !own.is_leaving;
+        let is_own = |note: &MemberNote| note.instance == own.instance;
+        let sees = |note: &&MemberNote| match is_own(note) {
+            true => can_read,
+            false => table.has_sight(now, &note.instance),
         };
-        for readers in [near, far] {
-            let sources: Vec<&&MemberNote> = readers.iter().filter(sees).collect();
-            if !sources.is_empty() {
-                let index = random(sources.len()).min(sources.len() - 1);
-                return FeedRole::Follower(Box::new((*sources[index]).clone()));
-            }
+        let mut domains = by_domain(table.usable(now).chain([own]));
+        let mut near = domains.remove(&own.failure_domain).unwrap_or_default();
+        near.truncate(self.near);
+        match near.into_iter().find(sees) {
+            Some(note) if is_own(note) => return FeedRole::Reader,
+            Some(note) => return FeedRole::Follower(Box::new(note.clone())),
+            None => {}
+        }
+        let far: Vec<&MemberNote> = domains
+            .into_values()
+            .flat_map(|members| members.into_iter().take(self.far))
+            .filter(sees)
+            .collect();
+        match far.len() {
+            0 => FeedRole::Reader,
+            count => FeedRole::Follower(Box::new(far[random(count).min(count - 1)].clone())),
         }
-        FeedRole::Reader
     }
 
     /// The readers of other failure domains: whom a reader exchanges notes with.
     pub fn far_readers<'a>(&self, table: &'a FleetTable, now: ClockTime) -> Vec<&'a MemberNote> {
-        let mut domains: BTreeMap<&FailureDomain, Vec<&MemberNote>> = BTreeMap::new();
-        for note in table.usable(now) {
-            if note.failure_domain != table.own().failure_domain {
-                domains.entry(&note.failure_domain).or_default().push(note);
-            }
-        }
-        let readers = domains.into_values().flat_map(|mut members| {
-            sort_by_rank(&mut members);
-            members.into_iter().take(self.readers)
-        });
-        readers.collect()
+        let mut domains = by_domain(table.usable(now));
+        domains.remove(&table.own().failure_domain);
+        domains
+            .into_values()
+            .flat_map(|members| members.into_iter().take(self.far))
+            .collect()
+    }
+}
+
+/// Members by failure domain, each sorted by rank.
+fn by_domain<'a>(
+    members: impl Iterator<Item = &'a MemberNote>,
+) -> BTreeMap<&'a FailureDomain, Vec<&'a MemberNote>> {
+    let mut domains: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for note in members {
+        domains.entry(&note.failure_domain).or_default().push(note);
+    }
+    for members in domains.values_mut() {
+        sort_by_rank(members);
     }
+    domains
 }
