--- a/crates/anvilhub-coord/src/fleet/fleet_table.rs
+++ b/crates/anvilhub-coord/src/fleet/fleet_table.rs
@@ -11,6 +11,9 @@
 const MOST_NOTES: usize = 8;
 /// Age of a note from which its member is not asked any more. News of it take up to three exchanges of a second.
 const USABLE_AGE: Duration = Duration::from_secs(4);
+/// The same for a member of the own failure domain that work is passed on to: a follower is heard by its reader twice
+/// a second, and the reader's followers hear of it as often.
+const NEAR_WORK_AGE: Duration = Duration::from_millis(1_750);
 /// Age from which a note is forgotten.
 const MOST_AGE: Duration = Duration::from_secs(12);
 /// How long a member that did not answer is not asked again.
@@ -133,6 +136,18 @@
         usable.map(|member| &member.note)
     }
 
+    /// Members that work can be passed on to.
+    pub fn workers(&self, now: ClockTime) -> impl Iterator<Item = &MemberNote> {
+        self.usable(now).filter(move |note| {
+            let is_near = note.failure_domain == self.own.failure_domain;
+            let age = self
+                .members
+                .get(&note.instance)
+                .map(|member| now.since(member.heard));
+            !is_near || age.is_some_and(|age| age < NEAR_WORK_AGE)
+        })
+    }
+
     /// The notes to pass on, with the own one.
     pub fn notes(&mut self, now: ClockTime) -> Vec<HeardNote> {
         self.members
--- a/crates/anvilhub-coord/src/fleet/relay_rule.rs
+++ b/crates/anvilhub-coord/src/fleet/relay_rule.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Self {
             least_ratio: 2.0,
-            least_parts: usize::MAX,
+            least_parts: 16,
         }
     }
 }
--- a/crates/anvilhub-coord/tests/reader_rule.rs
+++ b/crates/anvilhub-coord/tests/reader_rule.rs
@@ -126,6 +126,17 @@
     assert_eq!(source(&known, 4_100), "c");
 }
 
+/// Work is passed on only to those that were heard of lately: a request that waits for a dead one is late.
+#[test]
+fn silent_ones_get_no_work() {
+    let known = table(
+        note("c", "d-1", 0.1),
+        &[note("a", "d-1", 0.5), note("b", "d-2", 0.5)],
+    );
+    let workers = |millis| known.workers(at(millis)).count();
+    assert_eq!([workers(1_500), workers(2_000), workers(4_100)], [2, 1, 0]);
+}
+
 /// Notes grow older on their way, so that instances cannot keep a dead one alive by telling each other of it.
 #[test]
 fn passed_on_notes_keep_their_age() {
--- a/crates/anvilhubd/src/caller/caller_server.rs
+++ b/crates/anvilhubd/src/caller/caller_server.rs
@@ -8,11 +8,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 
-use super::{CallerHandler, ServerLimits};
+use super::{CallerHandler, GREETING, ServerLimits};
 
 /// Pause after a failed accept; the usual cause is a lack of descriptors, which lasts.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -66,7 +67,7 @@
 
     fn connection(
         &self,
-        stream: TcpStream,
+        mut stream: TcpStream,
         mut stop: watch::Receiver<bool>,
     ) -> impl Future<Output = ()> + Send + 'static {
         let handler = Arc::clone(&self.handler);
@@ -77,7 +78,7 @@
                 let handler = Arc::clone(&handler);
                 async move { Ok::<_, Infallible>(handler.handle(request).await) }
             });
-            if let Err(error) = stream.set_nodelay(true) {
+            if let Err(error) = begin(&mut stream, limits).await {
                 debug!("a caller's connection ended before its first request: {error}");
                 return;
             }
@@ -105,6 +106,14 @@
     }
 }
 
+async fn begin(stream: &mut TcpStream, limits: ServerLimits) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    match limits.greets {
+        true => stream.write_all(&[GREETING]).await,
+        false => Ok(()),
+    }
+}
+
 /// Waits until the server is told to stop.
 async fn stopping(stop: &mut watch::Receiver<bool>) {
     // A dropped sender also means that the daemon stops.
--- a/crates/anvilhubd/src/caller/mod.rs
+++ b/crates/anvilhubd/src/caller/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use caller_handler::CallerHandler;
 pub(crate) use caller_server::CallerServer;
 pub(crate) use query_handler::QueryHandler;
-pub(crate) use server_limits::ServerLimits;
+pub(crate) use server_limits::{GREETING, ServerLimits};
 use unread_query::UnreadQuery;
--- a/crates/anvilhubd/src/caller/server_limits.rs
+++ b/crates/anvilhubd/src/caller/server_limits.rs
@@ -2,6 +2,9 @@
 
 use anvilhub_coord::ids::ByteSize;
 
+/// First byte of a connection that is greeted.
+pub(crate) const GREETING: u8 = b'+';
+
 /// What callers' connections may cost.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServerLimits {
@@ -14,4 +17,6 @@
     pub(crate) answers_half_closed: bool,
     /// Largest head of a request, the library's limit if `None`.
     pub(crate) most_head: Option<ByteSize>,
+    /// Whether each connection begins with [`GREETING`], which shows that the process runs and not only its kernel.
+    pub(crate) greets: bool,
 }
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -66,6 +66,7 @@
     let lifecycle = lifecycle.serve();
     info!(instance:% = context.settings.instance; "ready");
     let limits = ServerLimits {
+        greets: false,
         most_connections: context.settings.max_caller_connections as usize,
         idle_timeout: context.settings.idle_timeout,
         answers_half_closed: true,
--- a/crates/anvilhubd/src/fleet/fleet_node.rs
+++ b/crates/anvilhubd/src/fleet/fleet_node.rs
@@ -130,7 +130,7 @@
         }
         let now = self.clock.now();
         self.table.with(|table| {
-            let members = table.usable(now);
+            let members = table.workers(now);
             rule.choose(table.own(), members, rand::random()).cloned()
         })
     }
--- a/crates/anvilhubd/src/fleet/news_thread.rs
+++ b/crates/anvilhubd/src/fleet/news_thread.rs
@@ -18,8 +18,8 @@
 /// Changes in one answer from which more may be waiting: the platform sends them in batches, and an instance that was
 /// cut off has to catch up at once.
 const LARGE_BATCH: usize = 16;
-/// Interval at which a follower asks for the notes of other instances.
-const NOTES_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a follower asks for the notes of other instances; a call for news without any.
+const NOTES_INTERVAL: Duration = Duration::from_millis(450);
 
 /// Keeps the gateway's routes and upstreams up to date, from the platform or from an instance that reads it.
 pub(crate) struct NewsThread<F> {
--- a/crates/anvilhubd/src/gateway/fan_plan.rs
+++ b/crates/anvilhubd/src/gateway/fan_plan.rs
@@ -20,6 +20,4 @@
     /// Time after which a hedge is sent.
     pub(super) hedge_delay: Duration,
     pub(super) arrived: ClockTime,
-    /// Whether another instance may have sent the request before: every send is a further one then.
-    pub(super) is_repeat: bool,
 }
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -60,10 +60,10 @@
             route,
             parts,
             records: TopRecords::new(plan.top.unwrap_or(0)),
-            may_have_run: plan.is_repeat,
             plan,
             single: None,
             extra: 0,
+            may_have_run: false,
             guard: RunGuard::new(grace),
             sender,
             ends,
@@ -166,9 +166,9 @@
         if part.sends >= self.plan.most_attempts {
             return false;
         }
-        let is_extra = part.sends > 0 || self.plan.is_repeat;
+        let is_extra = part.sends > 0;
         let pays = match (cause, is_extra) {
-            (SendCause::First, false) => {
+            (SendCause::First, _) => {
                 group.budget.with(|budget| budget.earn(now));
                 true
             }
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -92,7 +92,10 @@
     runtime.spawn(async move { beat.run().await });
     let relay_server = CallerServer::new(
         Arc::new(RelayHandler::new(Arc::clone(&gateway))),
-        limits(gateway.settings.most_caller_connections),
+        ServerLimits {
+            greets: true,
+            ..limits(gateway.settings.most_caller_connections)
+        },
     );
     let relay_stop = stop.clone();
     let relay_task = runtime.spawn(async move { relay_server.serve(relayed, relay_stop).await });
@@ -151,6 +154,7 @@
         idle_timeout: CALLER_IDLE,
         answers_half_closed: false,
         most_head: Some(MOST_HEAD),
+        greets: false,
     }
 }
 
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -168,7 +168,6 @@
             return turned_away(QUEUE_TIME, left);
         };
         let request = Arc::new(request);
-        let mut is_repeat = false;
         if let (RouteTarget::Gather(gather), None) = (&rule.target, relayed)
             && let Some(relay) = self.gateway.fleet.relay(gather.shards.len())
         {
@@ -193,8 +192,13 @@
                 }
                 RelayEnd::NotSent(reason) => line.relay_fault = reason,
                 RelayEnd::Lost(reason) => {
+                    // How often it sent each part is not known, and the route bounds that.
+                    line.reason = "relay_lost";
                     line.relay_fault = reason;
-                    is_repeat = true;
+                    return refusal(
+                        StatusCode::BAD_GATEWAY,
+                        "the instance that gathered the answer fell silent; the request may have run",
+                    );
                 }
             }
         }
@@ -215,7 +219,6 @@
             usual,
             hedge_delay,
             arrived,
-            is_repeat,
         };
         let run = FanRun::new(Arc::clone(&self.gateway), request, Arc::clone(state), plan);
         let outcome = run.run().await;
--- a/crates/anvilhubd/src/gateway/relay_run.rs
+++ b/crates/anvilhubd/src/gateway/relay_run.rs
@@ -12,8 +12,8 @@
 
 use super::{ForwardRequest, Gateway, RelayHead};
 
-/// Longest time to connect to a relay: several round trips between failure domains, and the time for which a relay
-/// may be busy. A request that waits longer is better gathered here.
+/// Longest time until a relay greets: several round trips between failure domains, and the time for which a relay may
+/// be busy. A request that waits longer is better gathered here.
 const CONNECT_TIME: Duration = Duration::from_millis(40);
 /// How long a relay may take to answer a ping while it works on a request.
 const PING_TIME: Duration = Duration::from_millis(60);
@@ -55,7 +55,7 @@
     async fn exchange(&self) -> RelayEnd {
         let opening = timeout(
             CONNECT_TIME,
-            UpstreamConnection::open(self.relay.relay_address),
+            UpstreamConnection::open_greeted(self.relay.relay_address),
         );
         let mut connection = match opening.await {
             Ok(Ok(connection)) => connection,
--- a/crates/anvilhubd/src/pool/upstream_connection.rs
+++ b/crates/anvilhubd/src/pool/upstream_connection.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::SocketAddr;
 
 use anvilhub_coord::ids::ByteSize;
@@ -8,9 +9,12 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::caller::GREETING;
+
 use super::{PoolError, Result};
 
 /// Largest head of an answer; upstreams send a few hundred bytes.
@@ -35,6 +39,30 @@
         let stream = TcpStream::connect(address)
             .await
             .map_err(|error| unconnected(&error))?;
+        Self::from_stream(address, stream).await
+    }
+
+    /// As `open`, to a server of this program that greets: returns once the process there shows that it runs.
+    pub(crate) async fn open_greeted(address: SocketAddr) -> Result<Self> {
+        let greeted = async {
+            let mut stream = TcpStream::connect(address).await?;
+            match stream.read_u8().await? {
+                GREETING => Ok(stream),
+                _ => Err(io::Error::other("the greeting is not the expected one")),
+            }
+        };
+        let stream = greeted.await.map_err(|error| PoolError::Unconnected {
+            address,
+            reason: error.to_string(),
+        })?;
+        Self::from_stream(address, stream).await
+    }
+
+    async fn from_stream(address: SocketAddr, stream: TcpStream) -> Result<Self> {
+        let unconnected = |reason: &dyn std::fmt::Display| PoolError::Unconnected {
+            address,
+            reason: reason.to_string(),
+        };
         stream
             .set_nodelay(true)
             .map_err(|error| unconnected(&error))?;
