--- a/crates/anvilhubd/src/fleet/fleet_beat.rs
+++ b/crates/anvilhubd/src/fleet/fleet_beat.rs
@@ -3,16 +3,16 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::FeedRole;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use log::debug;
 use rand::Rng;
-use tokio::time::{Instant, sleep};
+use tokio::time::{sleep, timeout};
 
 use super::{ExchangeAnswer, FleetApiClient, FleetNode};
 
 /// One exchange in this many goes to a seed, so that parts of a fleet that lost each other meet again.
 const SEED_SHARE: u32 = 4;
-/// Part of the join time between two questions to seeds.
-const JOIN_QUESTIONS: u32 = 2;
 
 /// Exchanges notes with other instances.
 pub(crate) struct FleetBeat {
@@ -24,17 +24,23 @@
         Self { node }
     }
 
-    /// Learns of other instances after a start. Returns as soon as one with news is known, or after the join time.
-    pub(crate) async fn join(&self) {
-        let settings = &self.node.settings;
-        let end = Instant::now() + settings.join_time;
-        while !self.seeds().is_empty() && Instant::now() < end {
-            let pause = settings.join_time / JOIN_QUESTIONS;
-            if self.ask_seed().await.is_some_and(|answer| answer.has_news) {
-                return;
+    /// Learns of other instances after a start, and says whether one of them has news of the platform.
+    pub(crate) async fn join(&self) -> bool {
+        let mut questions: FuturesUnordered<_> = self
+            .seeds()
+            .into_iter()
+            .map(|seed| self.ask(seed))
+            .collect();
+        let answers = async {
+            while let Some(answer) = questions.next().await {
+                if answer.is_some_and(|answer| answer.has_news) {
+                    return true;
+                }
             }
-            sleep(pause.min(end.saturating_duration_since(Instant::now()))).await;
-        }
+            false
+        };
+        let joined = timeout(self.node.settings.join_time, answers).await;
+        joined.unwrap_or(false)
     }
 
     /// Exchanges notes at each interval: readers with those of other failure domains, an instance that knows no
@@ -79,7 +85,11 @@
         if seeds.is_empty() {
             return None;
         }
-        let seed = seeds[rand::rng().random_range(0..seeds.len())];
+        let index = rand::rng().random_range(0..seeds.len());
+        self.ask(seeds[index]).await
+    }
+
+    async fn ask(&self, seed: SocketAddr) -> Option<ExchangeAnswer> {
         let answer = self.exchange(seed).await;
         // An instance asks seeds seldom: an open connection would cost a ping a second.
         self.node.clients.forget(seed);
--- a/crates/anvilhubd/src/fleet/fleet_settings.rs
+++ b/crates/anvilhubd/src/fleet/fleet_settings.rs
@@ -27,7 +27,7 @@
     /// How long another instance may take to answer, beyond the wait. Several round trips between failure
     /// domains, and the time for which an instance with an eighth of a core may be busy.
     pub call_patience: Duration,
-    /// How long a start waits for what other instances know.
+    /// How long a start waits for what seeds know. A seed that runs answers within a few round trips.
     pub join_time: Duration,
     /// Interval of exchanges with instances of other failure domains.
     pub beat_interval: Duration,
@@ -47,7 +47,7 @@
             most_pause: Duration::from_millis(1_000),
             follow_wait: Duration::from_millis(500),
             call_patience: Duration::from_millis(250),
-            join_time: Duration::from_millis(300),
+            join_time: Duration::from_millis(150),
             beat_interval: Duration::from_millis(1_000),
         }
     }
--- a/crates/anvilhubd/src/fleet/news_thread.rs
+++ b/crates/anvilhubd/src/fleet/news_thread.rs
@@ -56,7 +56,10 @@
 
     fn run(mut self) {
         let beat = FleetBeat::new(Arc::clone(&self.node));
-        self.runtime.block_on(beat.join());
+        if !self.runtime.block_on(beat.join()) {
+            // After a start of the whole fleet this is faster than to agree on a reader first.
+            self.read();
+        }
         loop {
             let role = self.node.role();
             self.node.note_role(self.role.as_ref(), &role);
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -102,7 +102,7 @@
         };
         let request = forward_request(head, target, &facts, body);
         let response = self
-            .forward(arrived, &table, index, request, facts, relayed, &mut line)
+            .forward(arrived, &table, index, request, relayed, &mut line)
             .await;
         HandledRequest { response, line }
     }
@@ -142,14 +142,13 @@
         table: &ServingTable,
         index: usize,
         request: ForwardRequest,
-        facts: RequestFacts,
         relayed: Option<RelayHead>,
         line: &mut RequestLine,
     ) -> Response<Full<Bytes>> {
         let rule = &table.catalog.rules()[index];
         let state = &table.states[index];
         let settings = &self.gateway.settings;
-        let stated = facts.time_left.unwrap_or(rule.timeout);
+        let stated = line.time_left.unwrap_or(rule.timeout);
         let left = stated
             .saturating_sub(settings.answer_margin)
             .min(rule.timeout);
