--- a/crates/anvilhub-dev/src/process/process_signal.rs
+++ b/crates/anvilhub-dev/src/process/process_signal.rs
@@ -5,6 +5,8 @@
 pub enum ProcessSignal {
     /// Asks for a planned stop.
     Terminate,
+    /// Announces changed settings.
+    Hangup,
     /// Ends the process at once.
     Kill,
     /// Pauses the process.
@@ -17,6 +19,7 @@
     fn from(signal: ProcessSignal) -> Self {
         match signal {
             ProcessSignal::Terminate => Self::TERM,
+            ProcessSignal::Hangup => Self::HUP,
             ProcessSignal::Kill => Self::KILL,
             ProcessSignal::Stop => Self::STOP,
             ProcessSignal::Continue => Self::CONT,
