--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! when a gathered answer is complete enough, and when a request is turned away.
 
 mod absence_rule;
+mod answer_time;
 mod caller_aim;
 mod departure_state;
 mod gather_cut;
@@ -26,6 +27,7 @@
 mod weighted_service;
 
 pub use absence_rule::AbsenceRule;
+pub use answer_time::AnswerTime;
 pub use caller_aim::CallerAim;
 pub use departure_state::DepartureState;
 pub use gather_cut::{CutVerdict, GatherCut};
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -5,6 +5,7 @@
 mod acceptor_search;
 mod admission_gate;
 mod answer_gather;
+mod answer_time;
 mod attempt_rule;
 mod border_fuzz;
 mod caller_aim;
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{GatherCut, HostName, RetryAdvice, RouteRule, RouteTarget};
+use anvilhub_coord::gateway::{
+    AnswerTime, GatherCut, HostName, RetryAdvice, RouteRule, RouteTarget,
+};
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::time::ClockTime;
 use bytes::Bytes;
@@ -202,9 +204,13 @@
             }
         }
         let lag = self.gateway.lag.with(|lag| lag.expected());
-        let aim_left = rule
-            .aim
-            .saturating_sub(settings.answer_margin + lag + line.waited_before);
+        let answer_time = AnswerTime {
+            aim: rule.aim,
+            margin: settings.answer_margin,
+            lag,
+            waited_before: line.waited_before,
+            way_back: relayed.map_or(Duration::ZERO, |head| head.way_back()),
+        };
         let plan = FanPlan {
             services,
             top,
@@ -212,7 +218,7 @@
             most_attempts: rule.most_attempts.max(1),
             cut: GatherCut {
                 least_parts: least_parts(rule),
-                aim_left: aim_left.min(left),
+                aim_left: answer_time.left().min(left),
                 time_left: left,
             },
             usual,
--- a/crates/anvilhubd/src/gateway/relay_head.rs
+++ b/crates/anvilhubd/src/gateway/relay_head.rs
@@ -12,6 +12,10 @@
 /// In an answer: nothing was sent to any upstream.
 const DECLINED: HeaderName = HeaderName::from_static("x-relay-declined");
 
+/// Longest way back that is allowed for: two round trips between failure domains. A request that took longer was held
+/// up before it was passed on.
+const MOST_WAY_BACK: Duration = Duration::from_millis(6);
+
 /// What an instance adds to a request that it passes on to a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct RelayHead {
@@ -29,6 +33,11 @@
         headers.insert(WAITED_BEFORE, micros(self.waited_before));
     }
 
+    /// How long the answer takes to the entry instance: about as long as the request took.
+    pub(super) fn way_back(&self) -> Duration {
+        self.waited.min(MOST_WAY_BACK)
+    }
+
     /// Takes the head out of `headers`; `None` when it is not complete.
     pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
         let mut number = |name| headers.remove(name)?.to_str().ok()?.parse::<u64>().ok();
