--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod absence_rule;
 mod answer_time;
 mod caller_aim;
+mod caller_way;
 mod departure_state;
 mod gather_cut;
 mod gather_rule;
@@ -29,6 +30,7 @@
 pub use absence_rule::AbsenceRule;
 pub use answer_time::AnswerTime;
 pub use caller_aim::CallerAim;
+pub use caller_way::CallerWay;
 pub use departure_state::DepartureState;
 pub use gather_cut::{CutVerdict, GatherCut};
 pub use gather_rule::GatherRule;
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -9,6 +9,7 @@
 mod attempt_rule;
 mod border_fuzz;
 mod caller_aim;
+mod caller_way;
 mod connection_ledger;
 mod connection_share;
 mod ejection_policy;
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -154,12 +154,11 @@
         let left = stated
             .saturating_sub(settings.answer_margin)
             .min(rule.timeout);
-        line.waited_before = match relayed {
-            Some(head) => head.waited_before,
-            None => state
-                .aim
-                .with(|aim| aim.waited_before(stated, rule.timeout)),
+        let (waited_before, caller_way) = match relayed {
+            Some(head) => (head.waited_before, head.caller_way),
+            None => state.caller_times(stated, rule.timeout, settings.answer_margin),
         };
+        line.waited_before = waited_before;
         let (usual, hedge_delay) = state.delays(rule.aim, settings.hedge_quantile);
         line.hedge_delay = hedge_delay;
         let Some((services, top)) =
@@ -180,7 +179,8 @@
                 head: RelayHead {
                     version: table.catalog.version,
                     waited: Duration::ZERO,
-                    waited_before: line.waited_before,
+                    waited_before,
+                    caller_way,
                 },
                 arrived,
                 doubt_time: rule.aim,
@@ -206,9 +206,9 @@
         let lag = self.gateway.lag.with(|lag| lag.expected());
         let answer_time = AnswerTime {
             aim: rule.aim,
-            margin: settings.answer_margin,
+            margin: caller_way,
             lag,
-            waited_before: line.waited_before,
+            waited_before,
             way_back: relayed.map_or(Duration::ZERO, |head| head.way_back()),
         };
         let plan = FanPlan {
--- a/crates/anvilhubd/src/gateway/relay_head.rs
+++ b/crates/anvilhubd/src/gateway/relay_head.rs
@@ -9,6 +9,8 @@
 const WAITED: HeaderName = HeaderName::from_static("x-relay-waited-us");
 /// Time that the caller waited before this request, in microseconds.
 const WAITED_BEFORE: HeaderName = HeaderName::from_static("x-relay-waited-before-us");
+/// Time to keep for the way from the entry instance to the caller, in microseconds.
+const CALLER_WAY: HeaderName = HeaderName::from_static("x-relay-caller-way-us");
 /// In an answer: nothing was sent to any upstream.
 const DECLINED: HeaderName = HeaderName::from_static("x-relay-declined");
 
@@ -24,6 +26,8 @@
     pub(super) waited: Duration,
     /// Time that the caller waited before this request.
     pub(super) waited_before: Duration,
+    /// Time to keep for the way from the entry instance to the caller.
+    pub(super) caller_way: Duration,
 }
 
 impl RelayHead {
@@ -31,6 +35,7 @@
         headers.insert(VERSION, HeaderValue::from(self.version.get()));
         headers.insert(WAITED, micros(self.waited));
         headers.insert(WAITED_BEFORE, micros(self.waited_before));
+        headers.insert(CALLER_WAY, micros(self.caller_way));
     }
 
     /// How long the answer takes to the entry instance: about as long as the request took.
@@ -41,11 +46,13 @@
     /// Takes the head out of `headers`; `None` when it is not complete.
     pub(super) fn take(headers: &mut HeaderMap) -> Option<Self> {
         let mut number = |name| headers.remove(name)?.to_str().ok()?.parse::<u64>().ok();
-        let (version, waited, before) = (number(VERSION), number(WAITED), number(WAITED_BEFORE));
+        let (version, waited) = (number(VERSION), number(WAITED));
+        let (before, way) = (number(WAITED_BEFORE), number(CALLER_WAY));
         Some(Self {
             version: SheetVersion(version?),
             waited: Duration::from_micros(waited?),
             waited_before: Duration::from_micros(before?),
+            caller_way: Duration::from_micros(way?),
         })
     }
 
--- a/crates/anvilhubd/src/gateway/route_state.rs
+++ b/crates/anvilhubd/src/gateway/route_state.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{CallerAim, SplitWheel};
+use anvilhub_coord::gateway::{CallerAim, CallerWay, SplitWheel};
 use anvilhub_coord::routing::{HedgePolicy, LatencyWindow};
 use anvilhub_coord::time::ClockTime;
 
@@ -16,12 +16,29 @@
 /// What one instance has observed of a route. It outlives the versions of the configuration.
 #[derive(Default)]
 pub(super) struct RouteState {
-    pub(super) aim: RouteCell<CallerAim>,
+    aim: RouteCell<CallerAim>,
+    way: RouteCell<CallerWay>,
     pub(super) wheel: RouteCell<SplitWheel>,
     answers: RouteCell<LatencyWindow>,
 }
 
 impl RouteState {
+    /// Takes in the time left that a request states, and returns what its caller had waited before, and the time to
+    /// keep for the way back to it, at most `most_way`.
+    pub(super) fn caller_times(
+        &self,
+        stated: Duration,
+        timeout: Duration,
+        most_way: Duration,
+    ) -> (Duration, Duration) {
+        let waited = self.aim.with(|aim| aim.waited_before(stated, timeout));
+        let way = self.way.with(|way| {
+            way.observe(waited, timeout);
+            way.time(most_way)
+        });
+        (waited, way)
+    }
+
     /// Takes in the time of an answer to an attempt.
     pub(super) fn record(&self, now: ClockTime, time: Duration) {
         self.answers.with(|answers| answers.record(now, time));
