Choose the first upstream of each part once; count relayed requests and known peers

Cause: the skip rule and the send each ranked all upstreams of every part: 270 to 405 rankings a request twice, on the relays' hot path.

--- a/crates/anvilhubd/src/fleet/fleet_node.rs
+++ b/crates/anvilhubd/src/fleet/fleet_node.rs
@@ -89,6 +89,7 @@
     /// Notes that an instance did not answer.
     pub(crate) fn doubt(&self, instance: &InstanceId, reason: &dyn std::fmt::Display) {
         let now = self.clock.now();
+        metrics::counter!("anvilhub_peer_failures_total").increment(1);
         if self.table.with(|table| table.doubt(now, instance)) {
             warn!(peer:% = instance; "dependency lost: {reason}");
         }
@@ -251,6 +252,11 @@
 
     /// Logs the role when it has changed.
     pub(super) fn note_role(&self, before: Option<&FeedRole>, role: &FeedRole) {
+        let now = self.clock.now();
+        let peers = self.table.with(|table| table.usable(now).count());
+        metrics::gauge!("anvilhub_known_peers").set(peers as f64);
+        let reads = f64::from(u8::from(*role == FeedRole::Reader));
+        metrics::gauge!("anvilhub_reads_platform").set(reads);
         match (before, role) {
             (Some(FeedRole::Reader), FeedRole::Reader) => {}
             (_, FeedRole::Reader) => info!("this instance reads the platform"),
--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -20,6 +20,9 @@
 /// Index of a part, and how an attempt at it ended.
 type PartEnd = (usize, AttemptEnd);
 
+/// The upstream for an attempt, and what decided for it.
+type UpstreamChoice = (Arc<UpstreamNode>, RankedReplica);
+
 /// Sends a request to one upstream of each part, again where needed, and joins what comes back.
 pub(super) struct FanRun {
     gateway: Arc<Gateway>,
@@ -71,13 +74,18 @@
     }
 
     pub(super) async fn run(mut self) -> FanOutcome {
-        let skipped = self.skipped();
-        for index in 0..self.parts.len() {
-            match skipped.contains(&index) {
-                true => self.parts[index].outcome = PartOutcome::Skipped,
-                false => {
-                    self.send(index, SendCause::First);
+        let now = self.gateway.clock.now();
+        let choices: Vec<Option<UpstreamChoice>> = (0..self.parts.len())
+            .map(|index| self.choose(index, now))
+            .collect();
+        let skipped = self.skipped(&choices);
+        for (index, choice) in choices.into_iter().enumerate() {
+            match (skipped.contains(&index), choice) {
+                (true, _) => self.parts[index].outcome = PartOutcome::Skipped,
+                (false, Some(choice)) => {
+                    self.send_to(index, SendCause::First, choice);
                 }
+                (false, None) => {}
             }
         }
         loop {
@@ -108,8 +116,7 @@
     }
 
     /// Parts that would come too late and that the answer can spare.
-    fn skipped(&self) -> Vec<usize> {
-        let now = self.gateway.clock.now();
+    fn skipped(&self, choices: &[Option<UpstreamChoice>]) -> Vec<usize> {
         let cut = &self.plan.cut;
         let rule = SkipRule {
             time_left: cut.aim_left * SKIP_FACTOR,
@@ -118,11 +125,11 @@
         if rule.most_skips == 0 || rule.time_left.is_zero() {
             return Vec::new();
         }
-        let expected = |index| match self.choose(index, now) {
+        let expected = |choice: &Option<UpstreamChoice>| match choice {
             Some((_, ranked)) => self.plan.usual.mul_f64(ranked.cost),
             None => Duration::ZERO,
         };
-        let expected: Vec<Duration> = (0..self.parts.len()).map(expected).collect();
+        let expected: Vec<Duration> = choices.iter().map(expected).collect();
         rule.plan(&expected)
     }
 
@@ -153,9 +160,15 @@
     /// Sends a part to a further upstream; says whether it could.
     fn send(&mut self, index: usize, cause: SendCause) -> bool {
         let now = self.gateway.clock.now();
-        let Some((node, ranked)) = self.choose(index, now) else {
-            return false;
-        };
+        match self.choose(index, now) {
+            Some(choice) => self.send_to(index, cause, choice),
+            None => false,
+        }
+    }
+
+    fn send_to(&mut self, index: usize, cause: SendCause, choice: UpstreamChoice) -> bool {
+        let now = self.gateway.clock.now();
+        let (node, ranked) = choice;
         if cause == SendCause::Hedge && !HedgeRule::default().allows(&ranked) {
             return false;
         }
@@ -199,8 +212,7 @@
         true
     }
 
-    /// The upstream for an attempt, and what decided for it.
-    fn choose(&self, index: usize, now: ClockTime) -> Option<(Arc<UpstreamNode>, RankedReplica)> {
+    fn choose(&self, index: usize, now: ClockTime) -> Option<UpstreamChoice> {
         let part = &self.parts[index];
         let group = part.group.as_ref()?;
         let settings = &self.gateway.settings;
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -169,7 +169,7 @@
 
     /// Says whether requests can be served.
     pub(super) fn is_ready(&self) -> bool {
-        self.table.load().is_some() && self.knows_upstreams() && !self.is_draining()
+        self.known_table().is_some() && !self.is_draining()
     }
 
     /// The routes in force, once the upstreams are known too.
--- a/crates/anvilhubd/src/gateway/relay_run.rs
+++ b/crates/anvilhubd/src/gateway/relay_run.rs
@@ -44,11 +44,18 @@
     pub(super) async fn run(self) -> RelayEnd {
         let end = self.exchange().await;
         let relay = &self.relay.instance;
-        match &end {
-            RelayEnd::Answered(..) => {}
-            RelayEnd::NotSent(reason) => debug!(peer:% = relay; "not passed on: {reason}"),
-            RelayEnd::Lost(reason) => self.gateway.fleet.doubt(relay, reason),
-        }
+        let outcome = match &end {
+            RelayEnd::Answered(..) => "answered",
+            RelayEnd::NotSent(reason) => {
+                debug!(peer:% = relay; "not passed on: {reason}");
+                "not_sent"
+            }
+            RelayEnd::Lost(reason) => {
+                self.gateway.fleet.doubt(relay, reason);
+                "lost"
+            }
+        };
+        metrics::counter!("anvilhub_relayed_total", "outcome" => outcome).increment(1);
         end
     }
 
