Look again for upstreams when those of a request's arrival are gone

Cause: a request keeps the upstreams of its arrival; one whose upstream was replaced before it could be sent had nobody left. The old one was also marked gone before the new list was in force. Ruled out: load as such; replaced_one_is_found_midway brings the moment about and failed before (503, 0 requests at the new process), passes now.

--- a/crates/anvilhubd/src/gateway/fan_run.rs
+++ b/crates/anvilhubd/src/gateway/fan_run.rs
@@ -160,10 +160,13 @@
     /// Sends a part to a further upstream; says whether it could.
     fn send(&mut self, index: usize, cause: SendCause) -> bool {
         let now = self.gateway.clock.now();
-        match self.choose(index, now) {
-            Some(choice) => self.send_to(index, cause, choice),
-            None => false,
-        }
+        let choice = self.choose(index, now).or_else(|| {
+            // The upstreams of the service may have been replaced since the request arrived.
+            let part = &mut self.parts[index];
+            part.group = self.gateway.groups.load().get(&part.service).cloned();
+            self.choose(index, now)
+        });
+        choice.is_some_and(|choice| self.send_to(index, cause, choice))
     }
 
     fn send_to(&mut self, index: usize, cause: SendCause, choice: UpstreamChoice) -> bool {
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -234,15 +234,11 @@
                 nodes.entry(entry.service.clone()).or_default().push(node);
             }
         });
-        for node in by_id.values() {
-            let is_kept = nodes
-                .get(&node.entry.service)
-                .is_some_and(|kept| kept.iter().any(|other| Arc::ptr_eq(other, node)));
-            if !is_kept {
-                info!(upstream:% = node.entry.id, service:% = node.entry.service; "upstream left");
-                node.set_gone();
-            }
-        }
+        let is_left = |node: &Arc<UpstreamNode>| {
+            let kept = nodes.get(&node.entry.service);
+            !kept.is_some_and(|kept| kept.iter().any(|other| Arc::ptr_eq(other, node)))
+        };
+        let left: Vec<_> = by_id.into_values().filter(is_left).collect();
         let groups = nodes
             .into_iter()
             .map(|(service, nodes)| {
@@ -251,6 +247,11 @@
             })
             .collect();
         self.groups.store(Arc::new(groups));
+        // Afterwards, so that a request that finds its upstream gone finds the next one.
+        for node in left {
+            info!(upstream:% = node.entry.id, service:% = node.entry.service; "upstream left");
+            node.set_gone();
+        }
     }
 
     fn found(&self, entry: &UpstreamEntry) -> Arc<UpstreamNode> {
