Check a relayed request's version where its table is taken; name the parts of passing on

Cause: the version was checked before the table was loaded, and the news thread could adopt another one in between.

--- a/crates/anvilhubd/src/fleet/fleet_beat.rs
+++ b/crates/anvilhubd/src/fleet/fleet_beat.rs
@@ -9,6 +9,8 @@
 use rand::Rng;
 use tokio::time::{sleep, timeout};
 
+use crate::peer::PeerError;
+
 use super::{ExchangeAnswer, FleetApiClient, FleetNode};
 
 /// One exchange in this many goes to a seed, so that parts of a fleet that lost each other meet again.
@@ -48,12 +50,12 @@
     pub(crate) async fn run(&self) {
         loop {
             sleep(self.pause()).await;
-            let is_lonely = match self.node.role() {
+            let asks_seed = match self.node.role() {
                 FeedRole::Follower(_) => continue,
                 FeedRole::Reader => rand::rng().random_range(0..SEED_SHARE) == 0,
             };
             match self.node.far_reader() {
-                Some(reader) if !is_lonely => {
+                Some(reader) if !asks_seed => {
                     if let Err(error) = self.exchange(reader.peer_address).await {
                         self.node.doubt(&reader.instance, &error);
                     }
@@ -102,10 +104,7 @@
         }
     }
 
-    async fn exchange(
-        &self,
-        address: SocketAddr,
-    ) -> Result<ExchangeAnswer, crate::peer::PeerError> {
+    async fn exchange(&self, address: SocketAddr) -> Result<ExchangeAnswer, PeerError> {
         let patience = self.node.settings.call_patience;
         let notes = self.node.notes();
         let answer = self
--- a/crates/anvilhubd/src/fleet/fleet_node.rs
+++ b/crates/anvilhubd/src/fleet/fleet_node.rs
@@ -5,7 +5,7 @@
 use anvilhub_coord::fleet::{
     FeedLog, FeedNews, FeedRole, FleetTable, HeardNote, MemberNote, ReaderRule, RelayRule,
 };
-use anvilhub_coord::ids::{Incarnation, InstanceId};
+use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformRevision};
 use anvilhub_coord::time::ClockTime;
 use jsonrpsee::core::client::Client;
 use log::{info, warn};
@@ -137,7 +137,7 @@
     }
 
     /// The revision up to which this instance knows everything.
-    pub(crate) fn as_of(&self) -> Option<anvilhub_coord::ids::PlatformRevision> {
+    pub(crate) fn as_of(&self) -> Option<PlatformRevision> {
         self.feed.with(|feed| feed.log.as_of())
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -17,6 +17,7 @@
 use crate::caller::CallerHandler;
 
 use super::forward_request::remove_connection_headers;
+use super::relay_handler::declined;
 use super::{
     FanOutcome, FanPlan, FanRun, ForwardRequest, Gateway, RelayEnd, RelayHead, RelayRun,
     RequestFacts, RequestLine, ServingTable,
@@ -87,7 +88,13 @@
             let response = turned_away(LEARNING_TIME, left);
             return HandledRequest { response, line };
         };
-        line.version = Some(table.catalog.version);
+        let version = table.catalog.version;
+        line.version = Some(version);
+        if relayed.is_some_and(|head| head.version != version) {
+            line.reason = "relay_declined";
+            let response = declined("another version");
+            return HandledRequest { response, line };
+        }
         let Some((index, target)) = find_route(&table, &request) else {
             line.reason = "no_route";
             let response = refusal(StatusCode::NOT_FOUND, "no route takes this host and path");
@@ -171,7 +178,6 @@
         if let (RouteTarget::Gather(gather), None) = (&rule.target, relayed)
             && let Some(relay) = self.gateway.fleet.relay(gather.shards.len())
         {
-            line.relay = relay.instance.to_string();
             let run = RelayRun {
                 gateway: Arc::clone(&self.gateway),
                 relay,
@@ -186,21 +192,8 @@
                 doubt_time: rule.aim,
                 time_left: left,
             };
-            match run.run().await {
-                RelayEnd::Answered(head, body) => {
-                    line.reason = "relayed";
-                    return passed_on(head.status, head.headers, body);
-                }
-                RelayEnd::NotSent(reason) => line.relay_fault = reason,
-                RelayEnd::Lost(reason) => {
-                    // How often it sent each part is not known, and the route bounds that.
-                    line.reason = "relay_lost";
-                    line.relay_fault = reason;
-                    return refusal(
-                        StatusCode::BAD_GATEWAY,
-                        "the instance that gathered the answer fell silent; the request may have run",
-                    );
-                }
+            if let Some(response) = pass_on(run, line).await {
+                return response;
             }
         }
         let lag = self.gateway.lag.with(|lag| lag.expected());
@@ -347,6 +340,30 @@
     }
 }
 
+/// Leaves a request to a larger instance; `None` when it has to be gathered here.
+async fn pass_on(run: RelayRun, line: &mut RequestLine) -> Option<Response<Full<Bytes>>> {
+    line.relay = run.relay.instance.to_string();
+    match run.run().await {
+        RelayEnd::Answered(head, body) => {
+            line.reason = "relayed";
+            Some(passed_on(head.status, head.headers, body))
+        }
+        RelayEnd::NotSent(reason) => {
+            line.relay_fault = reason;
+            None
+        }
+        RelayEnd::Lost(reason) => {
+            // How often it sent each part is not known, and the route bounds that.
+            line.reason = "relay_lost";
+            line.relay_fault = reason;
+            Some(refusal(
+                StatusCode::BAD_GATEWAY,
+                "the instance that gathered the answer fell silent; the request may have run",
+            ))
+        }
+    }
+}
+
 fn passed_on(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
--- a/crates/anvilhubd/src/gateway/relay_handler.rs
+++ b/crates/anvilhubd/src/gateway/relay_handler.rs
@@ -20,31 +20,28 @@
         let handler = GatewayHandler::new(Arc::clone(&gateway));
         Self { gateway, handler }
     }
+}
 
-    /// Why nothing can be sent for a request with this head.
-    fn obstacle(&self, head: Option<RelayHead>) -> Option<&'static str> {
-        let Some(head) = head else {
-            return Some("incomplete head");
-        };
-        if self.gateway.is_draining() {
-            return Some("draining");
-        }
-        let table = self.gateway.known_table();
-        let version = table.map(|table| table.catalog.version);
-        (version != Some(head.version)).then_some("another version")
-    }
+/// The answer to a request of which nothing was sent.
+pub(super) fn declined(reason: &'static str) -> Response<Full<Bytes>> {
+    metrics::counter!("anvilhub_relay_declines_total", "reason" => reason).increment(1);
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    RelayHead::decline(response.headers_mut(), reason);
+    response
 }
 
 impl CallerHandler for RelayHandler {
     async fn handle(&self, mut request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let head = RelayHead::take(request.headers_mut());
-        if let Some(reason) = self.obstacle(head) {
-            metrics::counter!("anvilhub_relay_declines_total", "reason" => reason).increment(1);
-            let mut response = Response::new(Full::default());
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            RelayHead::decline(response.headers_mut(), reason);
-            return response;
+        let Some(head) = RelayHead::take(request.headers_mut()) else {
+            return declined("incomplete head");
+        };
+        if self.gateway.is_draining() {
+            return declined("draining");
+        }
+        if self.gateway.known_table().is_none() {
+            return declined("no configuration");
         }
-        self.handler.answer_passed_on(request, head).await
+        self.handler.answer_passed_on(request, Some(head)).await
     }
 }
--- a/crates/anvilhubd/src/gateway/relay_run.rs
+++ b/crates/anvilhubd/src/gateway/relay_run.rs
@@ -23,6 +23,7 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) relay: MemberNote,
     pub(super) request: Arc<ForwardRequest>,
+    /// Its `waited` is set when the request is sent.
     pub(super) head: RelayHead,
     pub(super) arrived: ClockTime,
     /// Time after which a relay that has not answered must show that it is alive, again and again.
