--- a/crates/anvilhub-coord/tests/reader_rule.rs
+++ b/crates/anvilhub-coord/tests/reader_rule.rs
@@ -1,20 +1,9 @@
 //! Which instance reads the platform for the others.
 
-use anvilhub_coord::fleet::{CoreShare, FeedRole, FleetTable, HeardNote, MemberNote, ReaderRule};
-use anvilhub_coord::ids::Incarnation;
+use anvilhub_coord::fleet::{FeedRole, FleetTable, HeardNote, MemberNote, ReaderRule};
 use anvilhub_coord::time::ClockTime;
 
-fn note(instance: &str, domain: &str, cores: f64) -> MemberNote {
-    MemberNote {
-        instance: instance.parse().expect("an identifier"),
-        incarnation: Incarnation(1),
-        failure_domain: domain.parse().expect("an identifier"),
-        cores: CoreShare(cores),
-        peer_address: "127.0.0.1:1".parse().expect("an address"),
-        relay_address: "127.0.0.1:2".parse().expect("an address"),
-        is_leaving: false,
-    }
-}
+use crate::member_notes::note;
 
 fn table(own: MemberNote, others: &[MemberNote]) -> FleetTable {
     let mut table = FleetTable::new(own);
--- a/crates/anvilhub-coord/tests/relay_rule.rs
+++ b/crates/anvilhub-coord/tests/relay_rule.rs
@@ -2,20 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use anvilhub_coord::fleet::{CoreShare, MemberNote, RelayRule};
-use anvilhub_coord::ids::Incarnation;
+use anvilhub_coord::fleet::{MemberNote, RelayRule};
 
-fn note(instance: &str, domain: &str, cores: f64) -> MemberNote {
-    MemberNote {
-        instance: instance.parse().expect("an identifier"),
-        incarnation: Incarnation(1),
-        failure_domain: domain.parse().expect("an identifier"),
-        cores: CoreShare(cores),
-        peer_address: "127.0.0.1:1".parse().expect("an address"),
-        relay_address: "127.0.0.1:2".parse().expect("an address"),
-        is_leaving: false,
-    }
-}
+use crate::member_notes::note;
 
 fn chosen<'a>(own: &MemberNote, members: &'a [MemberNote], random: f64) -> Option<&'a str> {
     let chosen = RelayRule::default().choose(own, members.iter(), random);
