--- a/crates/anvilhub-dev/src/standin/relay/relay_command.rs
+++ b/crates/anvilhub-dev/src/standin/relay/relay_command.rs
@@ -27,4 +27,12 @@
     Cut,
     /// Existing connections are left alone; new ones are closed at once.
     Refuse,
+    /// Existing and new connections are closed.
+    Reset,
+    /// What clients send waits until the mode changes.
+    HoldForth,
+    /// What the target sends waits until the mode changes.
+    HoldBack,
+    /// Everything waits until the mode changes.
+    Hold,
 }
--- a/crates/anvilhub-dev/src/standin/relay/relay_link.rs
+++ b/crates/anvilhub-dev/src/standin/relay/relay_link.rs
@@ -7,6 +7,8 @@
 
 use super::relay_server::RelayServer;
 
+/// How often held bytes look whether they may go on.
+const HOLD_TICK: Duration = Duration::from_millis(5);
 /// Bytes that one step passes on.
 const CHUNK_BYTES: usize = 16 << 10;
 
@@ -44,14 +46,19 @@
     /// Passes bytes in both directions until both ends are done.
     pub(crate) fn pass(&self, server: &RelayServer) {
         thread::scope(|scope| {
-            scope.spawn(|| self.pass_one_way(&self.client, &self.target, server));
-            self.pass_one_way(&self.target, &self.client, server);
+            scope.spawn(|| self.pass_one_way(true, server));
+            self.pass_one_way(false, server);
         });
         self.close();
     }
 
-    fn pass_one_way(&self, from: &TcpStream, to: &TcpStream, server: &RelayServer) {
-        if self.copy(from, to, server).is_err() {
+    fn pass_one_way(&self, is_forth: bool, server: &RelayServer) {
+        let (from, to) = match is_forth {
+            true => (&*self.client, &*self.target),
+            false => (&*self.target, &*self.client),
+        };
+        let holds = || server.holds(is_forth);
+        if self.copy(from, to, server, holds).is_err() {
             return self.close();
         }
         if !self.is_silent() {
@@ -59,13 +66,22 @@
         }
     }
 
-    fn copy(&self, mut from: &TcpStream, mut to: &TcpStream, server: &RelayServer) -> Result<()> {
+    fn copy(
+        &self,
+        mut from: &TcpStream,
+        mut to: &TcpStream,
+        server: &RelayServer,
+        holds: impl Fn() -> bool,
+    ) -> Result<()> {
         let mut chunk = [0; CHUNK_BYTES];
         loop {
             let length = from.read(&mut chunk)?;
             if length == 0 {
                 return Ok(());
             }
+            while holds() {
+                thread::sleep(HOLD_TICK);
+            }
             let delay = server.delay();
             if delay > Duration::ZERO {
                 thread::sleep(delay);
--- a/crates/anvilhub-dev/src/standin/relay/relay_server.rs
+++ b/crates/anvilhub-dev/src/standin/relay/relay_server.rs
@@ -87,11 +87,17 @@
         };
         state.mode = mode;
         match mode {
-            RelayMode::Pass | RelayMode::Refuse => {}
+            RelayMode::Pass
+            | RelayMode::Refuse
+            | RelayMode::HoldForth
+            | RelayMode::HoldBack
+            | RelayMode::Hold => {}
             RelayMode::SilentExisting | RelayMode::Silent => {
                 state.links.values().for_each(RelayLink::silence);
             }
-            RelayMode::Cut => state.links.values().for_each(RelayLink::close),
+            RelayMode::Cut | RelayMode::Reset => {
+                state.links.values().for_each(RelayLink::close);
+            }
         }
     }
 
@@ -99,6 +105,16 @@
         self.state().delay
     }
 
+    /// Says whether bytes have to wait on their way to the target, or back from it.
+    pub(crate) fn holds(&self, is_forth: bool) -> bool {
+        match self.state().mode {
+            RelayMode::Hold => true,
+            RelayMode::HoldForth => is_forth,
+            RelayMode::HoldBack => !is_forth,
+            _ => false,
+        }
+    }
+
     fn accept_all(self: &Arc<Self>, listener: &TcpListener) {
         for client in listener.incoming().flatten() {
             let Some((number, mode)) = self.count_opening() else {
@@ -112,7 +128,8 @@
     /// Counts a connection, and gives its number and the mode that it begins in unless it is refused.
     fn count_opening(&self) -> Option<(u64, RelayMode)> {
         let mut state = self.state();
-        if state.mode == RelayMode::Refuse || state.links.len() >= MAX_LINKS {
+        let is_refused = matches!(state.mode, RelayMode::Refuse | RelayMode::Reset);
+        if is_refused || state.links.len() >= MAX_LINKS {
             state.counts.refused += 1;
             return None;
         }
--- a/crates/anvilhub-dev/tests/standin/relay_modes.rs
+++ b/crates/anvilhub-dev/tests/standin/relay_modes.rs
@@ -28,6 +28,19 @@
     relay.set_mode(RelayMode::Silent)?;
     assert!(connect()?.is_silent()?);
 
+    relay.set_mode(RelayMode::Pass)?;
+    let mut kept = connect()?;
+    assert!(kept.answers()?);
+
+    for held in [RelayMode::Hold, RelayMode::HoldForth, RelayMode::HoldBack] {
+        relay.set_mode(held)?;
+        assert!(connect()?.is_silent()?);
+    }
+
+    relay.set_mode(RelayMode::Reset)?;
+    assert!(!kept.answers()?);
+    assert!(!connect()?.answers()?);
+
     relay.set_mode(RelayMode::Pass)?;
     assert!(connect()?.answers()?);
     Ok(())
