Keep in one place whether the platform answers

Cause: the gateway and FleetNode each held whether the platform is lost and when it answered last, and the news thread set both after every call. FleetNode keeps them, the gateway asks it; PlatformLink and two setters go. Requests and rules are unaffected. The age that a follower logs while the platform is lost is now that of its reader's last contact, not of its own last good answer.

--- a/crates/anvilhubd/src/fleet/fleet_node.rs
+++ b/crates/anvilhubd/src/fleet/fleet_node.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use anvilhub_coord::fleet::{
@@ -27,17 +28,18 @@
     clock: DaemonClock,
     table: RouteCell<FleetTable>,
     feed: RouteCell<NodeFeed>,
+    /// When the platform answered last, in microseconds of the clock; 0 before its first answer.
+    reached: AtomicU64,
+    is_platform_lost: AtomicBool,
     /// Wakes followers that wait for news.
     changed: Notify,
 }
 
-/// The platform's values, and when they were confirmed.
+/// The platform's values, and when the platform was last found to be away.
 #[derive(Debug, Default)]
 struct NodeFeed {
     log: FeedLog,
-    reached: Option<ClockTime>,
     away: Option<ClockTime>,
-    is_lost: bool,
 }
 
 impl FleetNode {
@@ -58,6 +60,8 @@
             clock,
             table: RouteCell::new(FleetTable::new(own)),
             feed: RouteCell::default(),
+            reached: AtomicU64::new(0),
+            is_platform_lost: AtomicBool::new(false),
             changed: Notify::new(),
         })
     }
@@ -101,8 +105,7 @@
     }
 
     pub(crate) fn has_news(&self) -> bool {
-        self.feed
-            .with(|feed| feed.log.as_of().is_some() && !feed.is_lost)
+        self.as_of().is_some() && !self.is_platform_lost()
     }
 
     /// Whether this instance reads the platform or asks another one.
@@ -145,10 +148,8 @@
     pub(crate) fn platform_lost(&self) {
         let now = self.clock.now();
         self.table.with(|table| table.note_own_blind(now));
-        self.feed.with(|feed| {
-            feed.is_lost = true;
-            feed.away = Some(now);
-        });
+        self.feed.with(|feed| feed.away = Some(now));
+        self.set_platform_lost(true);
         self.changed.notify_waiters();
     }
 
@@ -166,11 +167,9 @@
     pub(crate) fn platform_answered(&self, news: FeedNews) -> Option<FeedNews> {
         let now = self.clock.now();
         let is_known = self.has_news() && news.records.is_empty();
-        let changes = self.feed.with(|feed| {
-            feed.reached = Some(now);
-            feed.is_lost = false;
-            feed.log.take(news)
-        });
+        let changes = self.feed.with(|feed| feed.log.take(news));
+        self.reached.store(now.0, Ordering::Release);
+        self.set_platform_lost(false);
         if !is_known {
             self.changed.notify_waiters();
         }
@@ -196,23 +195,45 @@
             }
         });
         let changes = self.feed.with(|feed| {
-            if let Some(age) = age {
-                feed.reached = feed.reached.max(Some(now - age));
-            }
-            feed.is_lost = is_lost;
             feed.away = feed.away.max(away);
             answer.news.and_then(|news| feed.log.take(news))
         });
+        if let Some(age) = age {
+            self.reached.fetch_max((now - age).0, Ordering::AcqRel);
+        }
+        self.set_platform_lost(is_lost);
         self.changed.notify_waiters();
+        let away = if is_lost { Some(now) } else { away };
         ReaderNews {
             changes,
             away_age: away.map(|away| now.since(away)),
-            age: if is_lost { None } else { age },
         }
     }
 
+    /// Says whether the platform's last answer is overdue.
     pub(crate) fn is_platform_lost(&self) -> bool {
-        self.feed.with(|feed| feed.is_lost)
+        self.is_platform_lost.load(Ordering::Acquire)
+    }
+
+    /// Time since the platform answered last: the age of the configuration and the list.
+    pub(crate) fn platform_age(&self) -> Duration {
+        self.clock.now().since(self.reached().unwrap_or_default())
+    }
+
+    fn reached(&self) -> Option<ClockTime> {
+        let reached = self.reached.load(Ordering::Acquire);
+        (reached > 0).then_some(ClockTime(reached))
+    }
+
+    fn set_platform_lost(&self, is_lost: bool) {
+        if self.is_platform_lost.swap(is_lost, Ordering::AcqRel) == is_lost {
+            return;
+        }
+        metrics::gauge!("anvilhub_platform_reached").set(f64::from(u8::from(!is_lost)));
+        match is_lost {
+            true => warn!(dependency = "platform"; "dependency lost"),
+            false => info!(dependency = "platform"; "dependency regained"),
+        }
     }
 
     /// The answer to a follower, once there is something that it does not know, or after `wait`.
@@ -243,8 +264,8 @@
         self.feed.with(|feed| FollowAnswer {
             own,
             news: feed.log.since(call.after),
-            platform_age_ms: millis(feed.reached),
-            is_platform_lost: feed.is_lost,
+            platform_age_ms: millis(self.reached()),
+            is_platform_lost: self.is_platform_lost(),
             away_age_ms: millis(feed.away),
             notes,
         })
@@ -274,6 +295,4 @@
     pub(super) changes: Option<FeedNews>,
     /// Time since the platform was last found to be away.
     pub(super) away_age: Option<Duration>,
-    /// Time since the platform answered; none when that is too long ago.
-    pub(super) age: Option<Duration>,
 }
--- a/crates/anvilhubd/src/fleet/news_thread.rs
+++ b/crates/anvilhubd/src/fleet/news_thread.rs
@@ -7,7 +7,7 @@
 use log::{debug, info};
 use tokio::runtime::Handle;
 
-use crate::gateway::{Gateway, PlatformLink};
+use crate::gateway::Gateway;
 
 use super::{FeedError, FleetApiClient, FleetBeat, FleetNode, FollowCall, PlatformFeed};
 
@@ -91,7 +91,6 @@
     fn answered(&mut self, known: Option<PlatformRevision>, news: FeedNews) {
         self.failures = 0;
         self.is_history_gone = false;
-        self.gateway.note_platform(PlatformLink::Reached);
         let count = news.records.len();
         if let Some(changes) = self.node.platform_answered(news) {
             self.feed.publish(&changes, &self.gateway);
@@ -105,7 +104,7 @@
     fn unread(&mut self, reason: &str) {
         debug!("{reason}");
         self.node.platform_lost();
-        self.gateway.note_platform(PlatformLink::Lost);
+        self.gateway.note_away(Duration::ZERO);
         if self.node.role() != FeedRole::Reader {
             return;
         }
@@ -142,10 +141,6 @@
             self.notes_at = Some(Instant::now());
         }
         let news = self.node.reader_answered(answer);
-        match news.age {
-            Some(age) => self.gateway.note_platform_through(age),
-            None => self.gateway.note_platform(PlatformLink::Lost),
-        }
         if let Some(age) = news.away_age {
             self.gateway.note_away(age);
         }
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -17,10 +17,7 @@
 use crate::lifecycle::{LifecycleStage, StageCell};
 use crate::routes::RouteCell;
 
-use super::{
-    GatewaySettings, GatewayWire, PlatformLink, ServiceGroup, ServingTable, UpstreamFeed,
-    UpstreamNode,
-};
+use super::{GatewaySettings, GatewayWire, ServiceGroup, ServingTable, UpstreamFeed, UpstreamNode};
 
 /// Least connections of one instance to an upstream, whatever the limit of the upstream.
 const LEAST_CONNECTIONS: usize = 2;
@@ -43,9 +40,6 @@
     feed: RouteCell<UpstreamFeed>,
     budgets: RouteCell<HashMap<ServiceName, Arc<RouteCell<RetryBudget>>>>,
     knows_upstreams: AtomicBool,
-    is_platform_lost: AtomicBool,
-    /// When the platform answered last, in microseconds of the clock.
-    platform_reached: AtomicU64,
     budget_noted: AtomicU64,
     /// How late cuts happen.
     pub(super) lag: RouteCell<WakeLag>,
@@ -71,8 +65,6 @@
             feed: RouteCell::default(),
             budgets: RouteCell::default(),
             knows_upstreams: AtomicBool::new(false),
-            is_platform_lost: AtomicBool::new(false),
-            platform_reached: AtomicU64::new(0),
             budget_noted: AtomicU64::new(0),
             lag: RouteCell::default(),
             learned: Notify::new(),
@@ -111,43 +103,12 @@
         self.learned.notify_waiters();
     }
 
-    /// Takes in whether the platform answers.
-    pub fn note_platform(&self, link: PlatformLink) {
-        let is_lost = link == PlatformLink::Lost;
-        let now = self.clock.now();
-        match is_lost {
-            true => self.feed.with(|feed| feed.list_away(now)),
-            false => self.platform_reached.store(now.0, Ordering::Release),
-        }
-        if self.is_platform_lost.swap(is_lost, Ordering::AcqRel) == is_lost {
-            return;
-        }
-        metrics::gauge!("anvilhub_platform_reached").set(f64::from(u8::from(!is_lost)));
-        match is_lost {
-            true => warn!(dependency = "platform"; "dependency lost"),
-            false => info!(dependency = "platform"; "dependency regained"),
-        }
-    }
-
-    /// Notes that a reader of the platform had an answer `age` ago.
-    pub(crate) fn note_platform_through(&self, age: Duration) {
-        self.note_platform(PlatformLink::Reached);
-        let reached = self.clock.now() - age;
-        self.platform_reached.store(reached.0, Ordering::Release);
-    }
-
     /// Notes that the platform was away `age` ago: entries that lapsed meanwhile may come back.
     pub(crate) fn note_away(&self, age: Duration) {
         let away = self.clock.now() - age;
         self.feed.with(|feed| feed.list_away(away));
     }
 
-    /// Time since the platform answered last: the age of the configuration and the list.
-    pub(super) fn platform_age(&self) -> Duration {
-        let reached = ClockTime(self.platform_reached.load(Ordering::Acquire));
-        self.clock.now().since(reached)
-    }
-
     /// Counts a hedge or retry that the budget of `service` does not pay for, and logs one of them a second.
     pub(super) fn note_spent_budget(&self, service: &ServiceName) {
         metrics::counter!("anvilhub_budget_refusals_total").increment(1);
@@ -191,7 +152,7 @@
         if let Some(table) = self.known_table() {
             return Some(table);
         }
-        if self.is_platform_lost.load(Ordering::Acquire) {
+        if self.fleet.is_platform_lost() {
             return None;
         }
         timeout(patience, learned).await.ok()
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -79,7 +79,7 @@
     ) -> HandledRequest {
         let facts = self.gateway.wire.read_request(request.headers());
         let mut line = RequestLine::new(&facts);
-        line.platform_age = self.gateway.platform_age();
+        line.platform_age = self.gateway.fleet.platform_age();
         line.is_passed_on = relayed.is_some();
         let left = facts.time_left.unwrap_or(UNSTATED_TIME);
         let patience = LEARNING_PATIENCE.min(left / 4);
--- a/crates/anvilhubd/src/gateway/mod.rs
+++ b/crates/anvilhubd/src/gateway/mod.rs
@@ -21,7 +21,6 @@
 mod link_shelf;
 mod link_warmer;
 mod part_outcome;
-mod platform_link;
 mod ready_handler;
 mod relay_handler;
 mod relay_head;
@@ -43,7 +42,6 @@
 pub use gateway_error::GatewayError;
 pub use gateway_settings::GatewaySettings;
 pub use gateway_wire::GatewayWire;
-pub use platform_link::PlatformLink;
 pub use request_facts::RequestFacts;
 pub use send_facts::SendFacts;
 
