Open upstream connections in one place, and lay upstreams out once a list

Cause: AttemptRun and LinkWarmer each opened, bounded and counted connections: UpstreamNode::open_link serves both. A new configuration laid all upstreams out again, although the layout depends on the list alone and every change of the list does it: with 270 to 680 upstreams that was work for each version of a storm, with the same result.

--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -139,21 +139,14 @@
             .deadline
             .since(now)
             .min(self.gateway.settings.connect_timeout);
-        let opening = timeout(most, UpstreamConnection::open(self.node.entry.address)).await;
-        match opening {
-            Ok(Ok(mut connection)) => {
-                metrics::counter!("anvilhub_upstream_connections_total").increment(1);
-                match connection.is_ready().await {
-                    true => Ok(ReadyLink {
-                        connection,
-                        opened: self.gateway.clock.now(),
-                        is_kept: false,
-                    }),
-                    false => Err("the new connection was closed at once".to_owned()),
-                }
-            }
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err("connecting timed out".to_owned()),
+        let mut connection = self.node.open_link(most).await?;
+        match connection.is_ready().await {
+            true => Ok(ReadyLink {
+                connection,
+                opened: self.gateway.clock.now(),
+                is_kept: false,
+            }),
+            false => Err("the new connection was closed at once".to_owned()),
         }
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -87,7 +87,6 @@
         metrics::gauge!("anvilhub_configuration_version").set(catalog.version.get() as f64);
         let table = ServingTable::new(catalog, earlier.as_deref());
         self.table.store(Some(Arc::new(table)));
-        self.rebuild_groups();
         self.learned.notify_waiters();
     }
 
--- a/crates/anvilhubd/src/gateway/link_warmer.rs
+++ b/crates/anvilhubd/src/gateway/link_warmer.rs
@@ -1,10 +1,6 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::Semaphore;
-use tokio::time::timeout;
-
-use crate::pool::UpstreamConnection;
 
 use super::{Gateway, UpstreamNode};
 
@@ -61,17 +57,11 @@
             let Ok(_connection) = node.connections.try_acquire() else {
                 return;
             };
-            let limit: Duration = gateway.settings.connect_timeout;
-            let opening = timeout(limit, UpstreamConnection::open(node.entry.address)).await;
+            let opened = node.open_link(gateway.settings.connect_timeout).await;
             let now = gateway.clock.now();
-            match opening {
-                Ok(Ok(connection)) => {
-                    metrics::counter!("anvilhub_upstream_connections_total").increment(1);
-                    node.shelf.with(|shelf| shelf.put(now, now, connection));
-                }
-                Ok(Err(_)) | Err(_) => {
-                    metrics::counter!("anvilhub_warm_failures_total").increment(1);
-                }
+            match opened {
+                Ok(connection) => node.shelf.with(|shelf| shelf.put(now, now, connection)),
+                Err(_) => metrics::counter!("anvilhub_warm_failures_total").increment(1),
             }
         });
     }
--- a/crates/anvilhubd/src/gateway/upstream_node.rs
+++ b/crates/anvilhubd/src/gateway/upstream_node.rs
@@ -4,7 +4,9 @@
 use anvilhub_coord::gateway::{DepartureState, RankedReplica, ReplicaGauge, UpstreamEntry};
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::Semaphore;
+use tokio::time::timeout;
 
+use crate::pool::UpstreamConnection;
 use crate::routes::RouteCell;
 
 use super::{GatewaySettings, LinkShelf};
@@ -46,6 +48,23 @@
         self.is_gone.load(Ordering::Relaxed)
     }
 
+    /// Opens a connection within `most`, and counts it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason for the log.
+    pub(super) async fn open_link(&self, most: Duration) -> Result<UpstreamConnection, String> {
+        let opening = UpstreamConnection::open(self.entry.address);
+        match timeout(most, opening).await {
+            Ok(Ok(connection)) => {
+                metrics::counter!("anvilhub_upstream_connections_total").increment(1);
+                Ok(connection)
+            }
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("connecting timed out".to_owned()),
+        }
+    }
+
     /// Says whether a connection should be opened ahead of need.
     pub(super) fn wants_warm_link(&self, now: ClockTime) -> bool {
         let is_busy = self
