Listen for other instances in one place

Cause: FleetServer and PeerServer each built the same JSON-RPC server, with limits of their own of the same size. serve_peers serves both. No change in behaviour; tests of both request paths pass.

--- a/crates/anvilhubd/src/fleet/fleet_server.rs
+++ b/crates/anvilhubd/src/fleet/fleet_server.rs
@@ -3,15 +3,13 @@
 
 use anvilhub_coord::fleet::HeardNote;
 use jsonrpsee::core::async_trait;
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
 
-use crate::peer::MAX_MESSAGE_BYTES;
+use crate::peer::serve_peers;
 
 use super::{ExchangeAnswer, FleetApiServer, FleetNode, FollowAnswer, FollowCall};
 
-/// Connections from other instances at once; each holds one, or two while it replaces a silent one.
-const MOST_CONNECTIONS: u32 = 4_096;
 /// Longest wait of a call for news.
 const MOST_WAIT: Duration = Duration::from_secs(2);
 
@@ -27,16 +25,7 @@
 
     /// Listens on the peer address. The server stops when the handle is dropped.
     pub(crate) async fn start(self) -> std::io::Result<ServerHandle> {
-        let config = ServerConfig::builder()
-            .max_request_body_size(MAX_MESSAGE_BYTES)
-            .max_response_body_size(MAX_MESSAGE_BYTES)
-            .max_connections(MOST_CONNECTIONS)
-            .build();
-        let server = Server::builder()
-            .set_config(config)
-            .build(self.node.settings.peer_address)
-            .await?;
-        Ok(server.start(self.into_rpc()))
+        serve_peers(self.node.settings.peer_address, self.into_rpc()).await
     }
 }
 
--- a/crates/anvilhubd/src/peer/mod.rs
+++ b/crates/anvilhubd/src/peer/mod.rs
@@ -6,6 +6,7 @@
 mod peer_api;
 mod peer_clients;
 mod peer_error;
+mod peer_listener;
 mod peer_server;
 
 pub(crate) use batch_message::{BatchAnswer, BatchItem, BatchMessage, BatchOutcome};
@@ -14,10 +15,11 @@
 pub(crate) use peer_api::{PeerApiClient, PeerApiServer};
 pub(crate) use peer_clients::PeerClients;
 pub(crate) use peer_error::PeerError;
+pub(crate) use peer_listener::serve_peers;
 pub(crate) use peer_server::PeerServer;
 
 /// Result of a call to another instance.
 pub(crate) type Result<T, E = PeerError> = std::result::Result<T, E>;
 
 /// Largest message between instances: a sheet of 1 MB with its escapes, or a batch of answers.
-pub(crate) const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
+const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
--- /dev/null
+++ b/crates/anvilhubd/src/peer/peer_listener.rs
@@ -0,0 +1,24 @@
+use std::io;
+use std::net::SocketAddr;
+
+use jsonrpsee::Methods;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+
+use super::MAX_MESSAGE_BYTES;
+
+/// Connections from other instances at once; each peer holds one, or two while it replaces a silent one.
+const MAX_PEER_CONNECTIONS: u32 = 4_096;
+
+/// Answers other instances at `address`. The server stops when the handle is dropped.
+pub(crate) async fn serve_peers(
+    address: SocketAddr,
+    methods: impl Into<Methods>,
+) -> io::Result<ServerHandle> {
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .max_connections(MAX_PEER_CONNECTIONS)
+        .build();
+    let server = Server::builder().set_config(config).build(address).await?;
+    Ok(server.start(methods))
+}
--- a/crates/anvilhubd/src/peer/peer_server.rs
+++ b/crates/anvilhubd/src/peer/peer_server.rs
@@ -5,19 +5,15 @@
 use anvilhub_coord::ticket::RequestOrigin;
 use eyre::{Result, WrapErr};
 use jsonrpsee::core::async_trait;
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::caller::QueryHandler;
 use crate::context::EntryContext;
 use crate::fanout;
 
-use super::{
-    BatchAnswer, BatchMessage, ForwardMessage, IssueMessage, MAX_MESSAGE_BYTES, PeerApiServer,
-};
+use super::{BatchAnswer, BatchMessage, ForwardMessage, IssueMessage, PeerApiServer, serve_peers};
 
-/// Connections from other instances at once; each peer holds one, or two while it replaces a silent one.
-const MAX_PEER_CONNECTIONS: u32 = 4_096;
 /// JSON-RPC error code of a request that the called instance refuses.
 const REFUSED: i32 = 1;
 
@@ -35,19 +31,11 @@
     /// Listens on the peer address. The server stops when the handle is dropped.
     pub(crate) async fn start(self) -> Result<ServerHandle> {
         let address = self.context.settings.peer_bind_address;
-        let config = ServerConfig::builder()
-            .max_request_body_size(MAX_MESSAGE_BYTES)
-            .max_response_body_size(MAX_MESSAGE_BYTES)
-            .max_connections(MAX_PEER_CONNECTIONS)
-            .build();
-        let server = Server::builder()
-            .set_config(config)
-            .build(address)
+        serve_peers(address, self.into_rpc())
             .await
             .wrap_err_with(|| {
                 format!("cannot listen on peer_bind_address {address}; is it in use?")
-            })?;
-        Ok(server.start(self.into_rpc()))
+            })
     }
 }
 
