Say by type whether a retry budget saves tokens or has a slack

Cause: a windowed budget with a slack of zero would have saved tokens like the other kind, against its description. No caller uses zero. retry_budget passes unchanged.

--- a/crates/anvilhub-coord/src/routing/retry_budget.rs
+++ b/crates/anvilhub-coord/src/routing/retry_budget.rs
@@ -28,8 +28,8 @@
     step: u64,
     step_micros: u64,
     saved: u64,
-    /// Tokens that every window may spend beyond what it earned.
-    slack: u64,
+    /// Tokens that every window may spend beyond what it earned; `None` when tokens are saved instead.
+    slack: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -47,7 +47,7 @@
             step: 0,
             step_micros: BUDGET_WINDOW.as_micros() as u64 / WINDOW_STEPS,
             saved: 0,
-            slack: 0,
+            slack: None,
         }
     }
 
@@ -56,7 +56,7 @@
     pub fn windowed(extra_load: f64, window: Duration, slack: u32) -> Self {
         Self {
             step_micros: (window.as_micros() as u64 / WINDOW_STEPS).max(1),
-            slack: u64::from(slack) * TOKEN,
+            slack: Some(u64::from(slack) * TOKEN),
             ..Self::new(extra_load)
         }
     }
@@ -99,8 +99,8 @@
         self.advance(now);
         let (earned, spent) = self.window();
         match self.slack {
-            0 => self.saved >= TOKEN && spent + TOKEN <= earned.max(TOKEN),
-            slack => spent + TOKEN <= earned + slack,
+            None => self.saved >= TOKEN && spent + TOKEN <= earned.max(TOKEN),
+            Some(slack) => spent + TOKEN <= earned + slack,
         }
     }
 
