List a request's shards only where they are sent

Cause: an instance that leaves a gathered request to a relay first copied the names of its 90 to 135 shards, on the smallest instances of the fleet. FleetTable::workers looked each member up again that it had just filtered. The function that answers and logs a request is named for that.

--- a/crates/anvilhub-coord/src/fleet/fleet_table.rs
+++ b/crates/anvilhub-coord/src/fleet/fleet_table.rs
@@ -128,23 +128,23 @@
 
     /// Members that can be asked for something, in the order of their names.
     pub fn usable(&self, now: ClockTime) -> impl Iterator<Item = &MemberNote> {
-        let is_usable = move |member: &&FleetMember| {
-            let is_doubted = member.doubted_until.is_some_and(|until| now < until);
-            now.since(member.heard) < USABLE_AGE && !is_doubted && !member.note.is_leaving
-        };
-        let usable = self.members.values().filter(is_usable);
-        usable.map(|member| &member.note)
+        self.usable_members(now).map(|member| &member.note)
     }
 
     /// Members that work can be passed on to.
     pub fn workers(&self, now: ClockTime) -> impl Iterator<Item = &MemberNote> {
-        self.usable(now).filter(move |note| {
-            let is_near = note.failure_domain == self.own.failure_domain;
-            let age = self
-                .members
-                .get(&note.instance)
-                .map(|member| now.since(member.heard));
-            !is_near || age.is_some_and(|age| age < NEAR_WORK_AGE)
+        let is_fresh = move |member: &&FleetMember| {
+            let is_near = member.note.failure_domain == self.own.failure_domain;
+            !is_near || now.since(member.heard) < NEAR_WORK_AGE
+        };
+        let workers = self.usable_members(now).filter(is_fresh);
+        workers.map(|member| &member.note)
+    }
+
+    fn usable_members(&self, now: ClockTime) -> impl Iterator<Item = &FleetMember> {
+        self.members.values().filter(move |member| {
+            let is_doubted = member.doubted_until.is_some_and(|until| now < until);
+            now.since(member.heard) < USABLE_AGE && !is_doubted && !member.note.is_leaving
         })
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -45,7 +45,7 @@
 
 impl CallerHandler for GatewayHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        self.answer_passed_on(request, None).await
+        self.answer_and_log(request, None).await
     }
 }
 
@@ -55,7 +55,7 @@
     }
 
     /// Answers a caller's request; `relayed` when another instance passes it on.
-    pub(super) async fn answer_passed_on(
+    pub(super) async fn answer_and_log(
         &self,
         request: Request<Incoming>,
         relayed: Option<RelayHead>,
@@ -168,12 +168,6 @@
         line.waited_before = waited_before;
         let (usual, hedge_delay) = state.delays(rule.aim, settings.hedge_quantile);
         line.hedge_delay = hedge_delay;
-        let Some((services, top)) =
-            targets(rule, |parts| state.wheel.with(|wheel| wheel.next(parts)))
-        else {
-            line.reason = "no_service";
-            return turned_away(QUEUE_TIME, left);
-        };
         let request = Arc::new(request);
         if let (RouteTarget::Gather(gather), None) = (&rule.target, relayed)
             && let Some(relay) = self.gateway.fleet.relay(gather.shards.len())
@@ -196,6 +190,12 @@
                 return response;
             }
         }
+        let Some((services, top)) =
+            targets(rule, |parts| state.wheel.with(|wheel| wheel.next(parts)))
+        else {
+            line.reason = "no_service";
+            return turned_away(QUEUE_TIME, left);
+        };
         let lag = self.gateway.lag.with(|lag| lag.expected());
         let answer_time = AnswerTime {
             aim: rule.aim,
--- a/crates/anvilhubd/src/gateway/relay_handler.rs
+++ b/crates/anvilhubd/src/gateway/relay_handler.rs
@@ -42,6 +42,6 @@
         if self.gateway.known_table().is_none() {
             return declined("no configuration");
         }
-        self.handler.answer_passed_on(request, Some(head)).await
+        self.handler.answer_and_log(request, Some(head)).await
     }
 }
