--- a/crates/anvilhub-coord/src/ids/call_rate.rs
+++ b/crates/anvilhub-coord/src/ids/call_rate.rs
@@ -1,20 +1,6 @@
-use derive_more::{Display, From, FromStr, Into};
-use serde::{Deserialize, Serialize};
+use super::real_number::real_number;
 
-/// A rate in calls per second.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    PartialOrd,
-    Display,
-    From,
-    Into,
-    FromStr,
-    Serialize,
-    Deserialize,
-)]
-#[serde(transparent)]
-pub struct CallRate(pub f64);
+real_number! {
+    /// A rate in calls per second.
+    CallRate
+}
--- a/crates/anvilhub-coord/src/ids/mod.rs
+++ b/crates/anvilhub-coord/src/ids/mod.rs
@@ -10,6 +10,7 @@
 mod instance_id;
 mod number_id;
 mod platform_revision;
+pub(crate) mod real_number;
 mod request_id;
 mod service_name;
 mod shard_name;
