Read the command line of both daemons in one place

Cause: anvilhub-platform repeated the argument loop, the command type and the exit codes of anvilhubd. DaemonCommand serves both; messages and exit codes are as before (run by hand: no argument, unknown option, missing value, help, version, missing file).

--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -6,6 +6,7 @@
 mod context;
 mod controllers;
 mod daemon;
+mod daemon_command;
 mod fanout;
 mod filters;
 pub mod fleet;
@@ -21,6 +22,7 @@
 mod tickets;
 
 pub use daemon::run;
+pub use daemon_command::{DaemonCommand, EXIT_FAILURE, EXIT_SETTINGS, EXIT_USAGE};
 pub use logging::{LineBudget, LineWriter};
 pub use settings::DaemonSettings;
 pub use settings_error::SettingsError;
--- a/crates/anvilhubd/src/main.rs
+++ b/crates/anvilhubd/src/main.rs
@@ -1,10 +1,8 @@
 //! `anvilhubd`, an entry instance of the anvilhub query tier.
 
-use std::ffi::OsString;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use anvilhubd::DaemonSettings;
+use anvilhubd::{DaemonCommand, DaemonSettings, EXIT_FAILURE, EXIT_SETTINGS, EXIT_USAGE};
 
 const HELP: &str = "\
 anvilhubd, an entry instance of the anvilhub query tier
@@ -20,60 +18,25 @@
 Exit codes: 0 planned stop, 1 failure while running, 2 usage, 3 bad settings
 ";
 
-const EXIT_FAILURE: u8 = 1;
-const EXIT_USAGE: u8 = 2;
-const EXIT_SETTINGS: u8 = 3;
-
-/// What the command line asks for.
-enum DaemonCommand {
-    Help,
-    Version,
-    Run { settings: PathBuf, check_only: bool },
-}
-
 fn main() -> ExitCode {
-    let command = match parse_arguments(std::env::args_os()) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("anvilhubd: {error}; see `anvilhubd --help`");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    match command {
-        DaemonCommand::Help => print!("{HELP}"),
-        DaemonCommand::Version => println!("anvilhubd {}", env!("CARGO_PKG_VERSION")),
-        DaemonCommand::Run {
-            settings,
+    match DaemonCommand::parse(std::env::args_os()) {
+        Ok(DaemonCommand::Help) => print!("{HELP}"),
+        Ok(DaemonCommand::Version) => println!("anvilhubd {}", env!("CARGO_PKG_VERSION")),
+        Ok(DaemonCommand::Run {
+            settings: Some(settings),
             check_only,
-        } => return run(&settings, check_only),
+        }) => return run(&settings, check_only),
+        Ok(DaemonCommand::Run { settings: None, .. }) => {
+            return refuse(&"option `--settings FILE` is missing");
+        }
+        Err(error) => return refuse(&error),
     }
     ExitCode::SUCCESS
 }
 
-fn parse_arguments(
-    arguments: impl IntoIterator<Item = OsString>,
-) -> Result<DaemonCommand, lexopt::Error> {
-    use lexopt::prelude::*;
-
-    let mut settings = None;
-    let mut check_only = false;
-    let mut parser = lexopt::Parser::from_iter(arguments);
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
-            Long("check") => check_only = true,
-            Long("help") | Short('h') => return Ok(DaemonCommand::Help),
-            Long("version") | Short('V') => return Ok(DaemonCommand::Version),
-            other => return Err(other.unexpected()),
-        }
-    }
-    match settings {
-        Some(settings) => Ok(DaemonCommand::Run {
-            settings,
-            check_only,
-        }),
-        None => Err("option `--settings FILE` is missing".into()),
-    }
+fn refuse(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("anvilhubd: {error}; see `anvilhubd --help`");
+    ExitCode::from(EXIT_USAGE)
 }
 
 fn run(path: &std::path::Path, check_only: bool) -> ExitCode {
