Use the pauses between failed reads that the other request path has

Cause: the news thread doubled and varied its pauses by itself, beside RetryPause. RetryPause takes its bounds now.

--- a/crates/anvilhubd/src/controllers/member_controller.rs
+++ b/crates/anvilhubd/src/controllers/member_controller.rs
@@ -9,8 +9,9 @@
 use metrics::{counter, gauge};
 
 use crate::context::EntryContext;
+use crate::retry_pause::RetryPause;
 
-use super::{PlatformClient, RetryPause, WatchCursor, controller_thread};
+use super::{PlatformClient, WatchCursor, controller_thread};
 
 /// How long one watch waits for a newer list.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/crates/anvilhubd/src/controllers/mod.rs
+++ b/crates/anvilhubd/src/controllers/mod.rs
@@ -8,7 +8,6 @@
 mod peer_exchange;
 mod platform_client;
 mod platform_watcher;
-mod retry_pause;
 mod upstream_controller;
 mod watch_cursor;
 
@@ -19,6 +18,5 @@
 pub(crate) use peer_exchange::PeerExchange;
 pub(crate) use platform_client::PlatformClient;
 pub(crate) use platform_watcher::PlatformWatcher;
-pub(crate) use retry_pause::RetryPause;
 pub(crate) use upstream_controller::UpstreamController;
 pub(crate) use watch_cursor::WatchCursor;
--- a/crates/anvilhubd/src/controllers/platform_watcher.rs
+++ b/crates/anvilhubd/src/controllers/platform_watcher.rs
@@ -10,8 +10,9 @@
 use metrics::counter;
 
 use crate::context::EntryContext;
+use crate::retry_pause::RetryPause;
 
-use super::{PlatformClient, RetryPause, WatchCursor, controller_thread};
+use super::{PlatformClient, WatchCursor, controller_thread};
 
 /// How long one watch waits for a newer sheet. The plain read that follows finds what a watch can miss, so this
 /// is also part of the time until a sheet is in force.
--- a/crates/anvilhubd/src/fleet/news_thread.rs
+++ b/crates/anvilhubd/src/fleet/news_thread.rs
@@ -8,13 +8,12 @@
 use tokio::runtime::Handle;
 
 use crate::gateway::Gateway;
+use crate::retry_pause::RetryPause;
 
 use super::{FeedError, FleetApiClient, FleetBeat, FleetNode, FollowCall, PlatformFeed};
 
-/// First pause after a failed read; doubled for each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Failures after which the pause does not grow any more.
-const MOST_DOUBLINGS: u32 = 4;
+/// First pause after a failed read; an instance that nobody has news for is back soon.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Changes in one answer from which more may be waiting: the platform sends them in batches, and an instance that was
 /// cut off has to catch up at once.
 const LARGE_BATCH: usize = 16;
@@ -28,7 +27,7 @@
     node: Arc<FleetNode>,
     runtime: Handle,
     role: Option<FeedRole>,
-    failures: u32,
+    pause: RetryPause,
     /// Whether the platform's values must be read anew.
     is_history_gone: bool,
     notes_at: Option<Instant>,
@@ -38,13 +37,14 @@
     /// Starts the thread.
     pub(crate) fn spawn(feed: F, gateway: Arc<Gateway>, runtime: Handle) -> std::io::Result<()> {
         let node = Arc::clone(&gateway.fleet);
+        let pause = RetryPause::between(FIRST_PAUSE, node.settings.most_pause);
         let news = Self {
             feed,
             gateway,
             node,
             runtime,
             role: None,
-            failures: 0,
+            pause,
             is_history_gone: false,
             notes_at: None,
         };
@@ -89,7 +89,7 @@
     }
 
     fn answered(&mut self, known: Option<PlatformRevision>, news: FeedNews) {
-        self.failures = 0;
+        self.pause.succeeded();
         self.is_history_gone = false;
         let count = news.records.len();
         if let Some(changes) = self.node.platform_answered(news) {
@@ -108,10 +108,7 @@
         if self.node.role() != FeedRole::Reader {
             return;
         }
-        let pause = FIRST_PAUSE * 2_u32.pow(self.failures);
-        self.failures = (self.failures + 1).min(MOST_DOUBLINGS);
-        let most = self.node.settings.most_pause;
-        thread::sleep(pause.min(most).mul_f64(0.75 + rand::random::<f64>() / 2.0));
+        thread::sleep(self.pause.failed());
     }
 
     fn follow(&mut self, source: &MemberNote) {
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -16,6 +16,7 @@
 mod operator;
 mod peer;
 mod pool;
+mod retry_pause;
 mod routes;
 mod settings;
 mod settings_error;
