Count the time on the way towards the age of the platform's values

Cause: a reader built its answer to a follower before it held the call for up to 500 ms, so the age in it was half a second too low, and the follower counted from the arrival.

Change: the answer is built again after the wait and says how long the call was held; the age counts from the sending of the call (ContactEstimate).

--- a/crates/anvilhub-coord/src/fleet/mod.rs
+++ b/crates/anvilhub-coord/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of instances that cooperate without shared storage: which members exist, which of them read the platform
 //! for the others, how changes spread, and to which member a large request is relayed.
 
+mod contact_estimate;
 mod cpu_cores;
 mod feed_log;
 mod feed_record;
@@ -12,6 +13,7 @@
 mod reader_rule;
 mod relay_rule;
 
+pub use contact_estimate::ContactEstimate;
 pub use cpu_cores::CpuCores;
 pub use feed_log::FeedLog;
 pub use feed_record::FeedRecord;
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -10,6 +10,7 @@
 mod caller_latency;
 mod connection_ledger;
 mod connection_share;
+mod contact_estimate;
 mod ejection_policy;
 mod feed_log;
 mod fleet_simulation;
--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -135,6 +135,7 @@
             wait_ms: settings.follow_wait.as_millis() as u64,
         };
         let call_timeout = settings.follow_wait + settings.call_timeout;
+        let sent_at = self.state.now();
         let pending_answer =
             self.state
                 .clients
@@ -148,7 +149,7 @@
         if wants_members {
             self.members_received_at = Some(Instant::now());
         }
-        let update = self.state.record_reader_answer(answer);
+        let update = self.state.record_reader_answer(sent_at, answer);
         if let Some(age) = update.outage_age {
             self.gateway.record_platform_outage(age);
         }
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::{
-    FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip, MemberInfo, ReaderRule, RelayRule,
+    ContactEstimate, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip, MemberInfo,
+    ReaderRule, RelayRule,
 };
 use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformRevision};
 use anvilhub_coord::time::ClockTime;
@@ -70,6 +71,11 @@
         })
     }
 
+    /// Returns the present time of this instance's clock.
+    pub(super) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
     /// Returns the record of this instance.
     pub(crate) fn own_info(&self) -> MemberInfo {
         self.table.with(|table| table.own_info().clone())
@@ -193,10 +199,24 @@
         changes
     }
 
-    /// Records the answer of the reader that this instance follows, and returns what it changes.
-    pub(super) fn record_reader_answer(&self, answer: FollowAnswer) -> ReaderUpdate {
+    /// Records the answer of the reader that this instance follows to a call sent at `sent_at`, and returns what it
+    /// changes.
+    pub(super) fn record_reader_answer(
+        &self,
+        sent_at: ClockTime,
+        answer: FollowAnswer,
+    ) -> ReaderUpdate {
         let now = self.clock.now();
-        let age = answer.platform_age_ms.map(Duration::from_millis);
+        let contact = answer.platform_age_ms.map(|age_ms| {
+            let estimate = ContactEstimate {
+                sent_at,
+                received_at: now,
+                held: Duration::from_millis(answer.held_ms),
+                age: Duration::from_millis(age_ms),
+            };
+            estimate.earliest_contact()
+        });
+        let age = contact.map(|contact| now.since(contact));
         let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
         let is_unreachable = answer.is_platform_unreachable || !is_fresh;
         let last_outage = answer
@@ -215,9 +235,9 @@
             feed.last_outage = feed.last_outage.max(last_outage);
             answer.update.and_then(|update| feed.log.apply(update))
         });
-        if let Some(age) = age {
+        if let Some(contact) = contact {
             self.last_platform_answer_us
-                .fetch_max((now - age).0, Ordering::AcqRel);
+                .fetch_max(contact.0, Ordering::AcqRel);
         }
         self.set_platform_unreachable(is_unreachable);
         self.state_changed.notify_waiters();
@@ -268,21 +288,26 @@
 
     /// Answers a follower as soon as there is something that the follower does not know, at the latest after `wait`.
     pub(crate) async fn answer_follower(&self, call: &FollowCall, wait: Duration) -> FollowAnswer {
-        let end = Instant::now() + wait;
+        let received_at = Instant::now();
+        let end = received_at + wait;
         loop {
             let changed = self.state_changed.notified();
-            let answer = self.build_answer(call);
+            let answer = self.build_answer(call, received_at);
             let has_nothing_new = answer.update.is_none()
                 && answer.is_platform_unreachable == call.is_platform_unreachable
                 && !answer.sender.is_leaving;
-            if !has_nothing_new || timeout_at(end, changed).await.is_err() {
+            if !has_nothing_new {
                 return answer;
             }
+            if timeout_at(end, changed).await.is_err() {
+                // Built again, since the ages in the answer have grown during the wait.
+                return self.build_answer(call, received_at);
+            }
         }
     }
 
-    /// Builds the answer to a follower from what this instance knows now.
-    fn build_answer(&self, call: &FollowCall) -> FollowAnswer {
+    /// Builds the answer to a follower from what this instance knows now. `received_at` is when its call arrived.
+    fn build_answer(&self, call: &FollowCall, received_at: Instant) -> FollowAnswer {
         let now = self.clock.now();
         let age_ms = |time: Option<ClockTime>| {
             time.map(|time| u64::try_from(now.since(time).as_millis()).unwrap_or(u64::MAX))
@@ -295,6 +320,7 @@
         self.feed.with(|feed| FollowAnswer {
             sender,
             update: feed.log.changes_since(call.after),
+            held_ms: u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX),
             platform_age_ms: age_ms(self.last_platform_answer()),
             is_platform_unreachable: self.is_platform_unreachable(),
             outage_age_ms: age_ms(feed.last_outage),
--- a/crates/anvilhubd/src/fleet/follow_answer.rs
+++ b/crates/anvilhubd/src/fleet/follow_answer.rs
@@ -10,6 +10,9 @@
     /// The changes that the follower does not have; `None` if there are none.
     #[serde(rename = "news")]
     pub(crate) update: Option<FeedUpdate>,
+    /// How long the reader held the call, in milliseconds; 0 from an instance of an earlier version.
+    #[serde(default)]
+    pub(crate) held_ms: u64,
     /// Time since the platform's last answer, in milliseconds; `None` before the first one.
     pub(crate) platform_age_ms: Option<u64>,
     /// Whether the reader considers the platform unreachable.
