Say ready only once the upstreams are laid out

Cause: has_upstream_list was set before rebuild_groups stored the upstreams, so an instance answered its readiness check, and requests with no_upstream, in between. Test: store_reads::ready_means_served, 1,500 upstreams; 503 before, 200 after.

--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -109,8 +109,9 @@
             upstreams.apply_list(now, records);
             upstreams.drop_removed(now);
         });
-        self.has_upstream_list.store(true, Ordering::Release);
         self.rebuild_groups();
+        // Set after the groups are stored: a request that finds this instance ready must find its upstreams.
+        self.has_upstream_list.store(true, Ordering::Release);
         self.state_changed.notify_waiters();
     }
 
