Take an answer without a request id on a connection that carried no request

Cause: a connection that was opened ahead of need counted as reused, so a 421 or 503 on it that names no request was not believed and the caller got 502. No second answer to an earlier request can come on such a connection.

--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -43,8 +43,6 @@
     connection: UpstreamConnection,
     /// When the connection was opened or last found open.
     checked_at: ClockTime,
-    /// Whether an earlier request was sent on it.
-    is_reused: bool,
 }
 
 impl AttemptRun {
@@ -82,7 +80,6 @@
         let ReadyConnection {
             mut connection,
             checked_at,
-            is_reused,
         } = match self.connect().await {
             Ok(connection) => connection,
             Err(reason) => return not_sent(&reason),
@@ -99,6 +96,7 @@
             };
             self.gateway.codec.write_request(headers, &metadata);
         });
+        let is_reused = connection.is_used();
         let limit = self.gateway.settings.max_answer_size;
         let answer = timeout(time_left, connection.send(request, limit, || {})).await;
         let now = self.gateway.clock.now();
@@ -151,7 +149,6 @@
                 return Ok(ReadyConnection {
                     connection,
                     checked_at: now,
-                    is_reused: true,
                 });
             }
         }
@@ -164,7 +161,6 @@
             true => Ok(ReadyConnection {
                 connection,
                 checked_at: self.gateway.clock.now(),
-                is_reused: false,
             }),
             false => Err("the new connection was closed at once".to_owned()),
         }
--- a/crates/anvilhubd/src/pool/upstream_connection.rs
+++ b/crates/anvilhubd/src/pool/upstream_connection.rs
@@ -26,6 +26,8 @@
 pub(crate) struct UpstreamConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    /// Whether a request was sent on it.
+    is_used: bool,
     /// The task that reads and writes the connection.
     driver: AbortHandle,
 }
@@ -77,6 +79,7 @@
         Ok(Self {
             address,
             sender,
+            is_used: false,
             driver,
         })
     }
@@ -90,6 +93,11 @@
         !self.sender.is_closed()
     }
 
+    /// Returns whether a request was sent on the connection, so that a late second answer to it may still arrive.
+    pub(crate) fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Waits until a request can be sent. Returns whether the connection is still open.
     pub(crate) async fn wait_ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
@@ -122,6 +130,7 @@
         max_answer_size: ByteSize,
         on_bytes: impl Fn(),
     ) -> Result<(Parts, Bytes)> {
+        self.is_used = true;
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| match error.take_message() {
             // hyper gives the message back when it wrote nothing of it.
