Relay gathered requests to the failure domains of their upstreams

Change: a small instance takes its relay from the domains in which half or more of the shards more have an upstream than in its own (DomainShares, RelayRule). Ruled out for now: relaying between instances of equal size.

--- a/crates/anvilhub-coord/src/fleet/mod.rs
+++ b/crates/anvilhub-coord/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod contact_estimate;
 mod cpu_cores;
+mod domain_shares;
 mod feed_log;
 mod feed_record;
 mod feed_role;
@@ -15,6 +16,7 @@
 
 pub use contact_estimate::ContactEstimate;
 pub use cpu_cores::CpuCores;
+pub use domain_shares::DomainShares;
 pub use feed_log::FeedLog;
 pub use feed_record::FeedRecord;
 pub use feed_role::FeedRole;
--- a/crates/anvilhub-coord/src/fleet/relay_rule.rs
+++ b/crates/anvilhub-coord/src/fleet/relay_rule.rs
@@ -1,10 +1,13 @@
-use super::{CpuCores, MemberInfo};
+use super::{CpuCores, DomainShares, MemberInfo};
 
 /// Chooses the instance that gathers the answers to a request on behalf of a smaller one.
 ///
 /// Designed for requests with many sub-requests on instances of unequal size: an instance with an eighth of a core
 /// spends half of a caller's latency target on sending a hundred sub-requests, and its many connections are idle for
 /// longer than upstreams keep them open. A few larger instances send faster and keep their connections in use.
+///
+/// The upstreams may all be in a few failure domains. From any other domain, each sub-request and its answer would
+/// cross to them, while a relay beside the upstreams sends only the merged answer across.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayRule {
     /// Minimum size of a relay, as a multiple of this instance's size. The gain must outweigh the cost of the
@@ -12,6 +15,9 @@
     pub min_size_ratio: f64,
     /// Minimum number of sub-requests of a relayed request. Sending fewer takes about as long as one hop.
     pub min_sub_requests: usize,
+    /// Minimum difference between the fractions of shards with an upstream in two failure domains for the relays of one
+    /// to be preferred. The gain must outweigh the longer way of the request.
+    pub min_share_gain: f64,
 }
 
 impl Default for RelayRule {
@@ -19,6 +25,7 @@
         Self {
             min_size_ratio: 2.0,
             min_sub_requests: 16,
+            min_share_gain: 0.5,
         }
     }
 }
@@ -30,24 +37,25 @@
     }
 
     /// Chooses a relay at random, with probabilities in proportion to size. Takes it from the failure domain of
-    /// `own` if there is one in that domain. `random` is a number from 0 to 1. Returns `None` if no member is large
-    /// enough.
+    /// `own` if there is one in that domain, unless the relays of other domains have upstreams of many more of the
+    /// shards beside them. `random` is a number from 0 to 1. Returns `None` if no member is large enough.
     pub fn choose<'a>(
         &self,
         own: &MemberInfo,
         members: impl Iterator<Item = &'a MemberInfo>,
+        shares: &DomainShares,
         random: f64,
     ) -> Option<&'a MemberInfo> {
         let min_cores = own.cores.get() * self.min_size_ratio;
-        let relays: Vec<&MemberInfo> = members
+        let mut relays: Vec<&MemberInfo> = members
             .filter(|member| !member.is_leaving && member.cores.get() >= min_cores)
             .collect();
-        let local: Vec<&MemberInfo> = relays
-            .iter()
-            .copied()
-            .filter(|member| member.failure_domain == own.failure_domain)
-            .collect();
-        let relays = if local.is_empty() { relays } else { local };
+        let share = |relay: &MemberInfo| shares.share(&relay.failure_domain);
+        let best_share = relays.iter().map(|relay| share(relay)).fold(0.0, f64::max);
+        relays.retain(|relay| share(relay) + self.min_share_gain > best_share);
+        if relays.iter().any(|relay| is_local(own, relay)) {
+            relays.retain(|relay| is_local(own, relay));
+        }
         let total_weight: f64 = relays.iter().map(|relay| weight(relay.cores)).sum();
         let mut remaining = total_weight * random;
         for relay in &relays {
@@ -60,6 +68,10 @@
     }
 }
 
+fn is_local(own: &MemberInfo, relay: &MemberInfo) -> bool {
+    relay.failure_domain == own.failure_domain
+}
+
 fn weight(cores: CpuCores) -> f64 {
     cores.get().max(0.0)
 }
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::{
-    ContactEstimate, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip, MemberInfo,
-    ReaderRule, RelayRule,
+    ContactEstimate, DomainShares, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip,
+    MemberInfo, ReaderRule, RelayRule,
 };
 use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformRevision};
 use anvilhub_coord::time::ClockTime;
@@ -141,17 +141,30 @@
         })
     }
 
+    /// Returns whether another instance can gather the answers to requests with this many sub-requests.
+    pub(crate) fn has_relay(&self, sub_request_count: usize) -> bool {
+        self.choose_relay(sub_request_count, &DomainShares::default(), &[])
+            .is_some()
+    }
+
     /// Chooses the instance that gathers the answer to a request with this many sub-requests; `None` if this instance
-    /// does so itself.
-    pub(crate) fn choose_relay(&self, sub_request_count: usize) -> Option<MemberInfo> {
+    /// does so itself. `shares` states where the upstreams of its shards are. Instances in `tried` are not chosen.
+    pub(crate) fn choose_relay(
+        &self,
+        sub_request_count: usize,
+        shares: &DomainShares,
+        tried: &[InstanceId],
+    ) -> Option<MemberInfo> {
         let rule = RelayRule::default();
         if !rule.is_worthwhile(sub_request_count) {
             return None;
         }
         let now = self.clock.now();
         self.table.with(|table| {
-            let candidates = table.relay_candidates(now);
-            rule.choose(table.own_info(), candidates, rand::random())
+            let candidates = table
+                .relay_candidates(now)
+                .filter(|member| !tried.contains(&member.instance));
+            rule.choose(table.own_info(), candidates, shares, rand::random())
                 .cloned()
         })
     }
--- a/crates/anvilhubd/src/gateway/connection_warmer.rs
+++ b/crates/anvilhubd/src/gateway/connection_warmer.rs
@@ -33,7 +33,7 @@
             return;
         };
         let fleet = &self.gateway.fleet;
-        for service in table.contacted_services(|shards| fleet.choose_relay(shards).is_some()) {
+        for service in table.contacted_services(|shards| fleet.has_relay(shards)) {
             let groups = self.gateway.groups.load();
             let Some(group) = groups.get(service) else {
                 continue;
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -3,8 +3,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{RouteCatalog, TimerLag, UpstreamRecord};
-use anvilhub_coord::ids::ServiceName;
+use anvilhub_coord::ids::{ServiceName, SheetVersion};
 use anvilhub_coord::routing::RetryBudget;
 use anvilhub_coord::time::ClockTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -18,7 +19,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    GatewaySettings, HeaderCodec, ServiceGroup, ServingTable, TrackedUpstream, UpstreamTable,
+    GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable, TrackedUpstream,
+    UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -45,6 +47,8 @@
     pub(super) table: ArcSwapOption<ServingTable>,
     /// The tracked upstreams, from which requests choose.
     pub(super) groups: ArcSwap<GroupMap>,
+    /// Number of times that `groups` was replaced.
+    groups_generation: AtomicU64,
     /// The upstreams in use, from which `groups` are rebuilt.
     upstreams: LockCell<UpstreamTable>,
     retry_budgets: LockCell<HashMap<ServiceName, Arc<LockCell<RetryBudget>>>>,
@@ -74,6 +78,7 @@
             stage,
             table: ArcSwapOption::empty(),
             groups: ArcSwap::default(),
+            groups_generation: AtomicU64::new(0),
             upstreams: LockCell::default(),
             retry_budgets: LockCell::default(),
             has_upstream_list: AtomicBool::new(false),
@@ -186,6 +191,26 @@
         )
     }
 
+    /// Returns in which failure domains `shards` have upstreams. The shares are computed again only after the
+    /// upstreams or the configuration have changed; `state` and `version` are those of the route.
+    pub(super) fn domain_shares(
+        &self,
+        state: &RouteState,
+        version: SheetVersion,
+        shards: &[ServiceName],
+    ) -> Arc<DomainShares> {
+        let generation = self.groups_generation.load(Ordering::Acquire);
+        state.domain_shares((generation, version), || {
+            let groups = self.groups.load();
+            DomainShares::of_shards(shards.iter().map(|service| {
+                let upstreams = groups.get(service).into_iter();
+                upstreams
+                    .flat_map(|group| &group.upstreams)
+                    .map(|upstream| &upstream.record.failure_domain)
+            }))
+        })
+    }
+
     /// Groups the upstreams by service and marks those that were removed. Upstreams whose process is the same as before
     /// keep their statistics and connections.
     fn rebuild_groups(&self) {
@@ -236,6 +261,7 @@
             })
             .collect();
         self.groups.store(Arc::new(groups));
+        self.groups_generation.fetch_add(1, Ordering::AcqRel);
         // Marked after the new groups are stored, so that a request whose upstream was removed finds a replacement in
         // them.
         for upstream in removed {
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{
     AnswerDeadline, GatherCutoff, HostName, RetryAdvice, RouteRule, RouteTarget, WeightedService,
 };
@@ -31,6 +32,8 @@
 /// Expected time until the queue of an upstream has drained. Callers of requests that were not run are told to retry
 /// after it.
 const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(60);
+/// Maximum number of relays that are tried for a request. Each that cannot be reached costs a part of the latency target.
+const MAX_TRIED_RELAYS: usize = 1;
 /// Time left that is assumed for a caller that states none, until its route and the route's timeout are known.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(5);
 
@@ -213,15 +216,16 @@
             .typical_latency_and_hedge_delay(rule.latency_target, settings.hedge_quantile);
         request_log.hedge_delay = hedge_delay;
         let request = Arc::new(request);
-        if let (RouteTarget::Gather(gather), None) = (&rule.target, relay_headers)
-            && let Some(relay) = self.gateway.fleet.choose_relay(gather.shards.len())
-        {
+        if let (RouteTarget::Gather(gather), None) = (&rule.target, relay_headers) {
+            let version = table.catalog.version;
+            let shares = self
+                .gateway
+                .domain_shares(route_state, version, &gather.shards);
             let run = RelayRun {
                 gateway: Arc::clone(&self.gateway),
-                relay,
                 request: Arc::clone(&request),
                 relay_headers: RelayHeaders {
-                    version: table.catalog.version,
+                    version,
                     waited: Duration::ZERO,
                     waited_before,
                     caller_latency,
@@ -230,7 +234,9 @@
                 ping_interval: rule.latency_target,
                 answer_timeout: time_left,
             };
-            if let Some(response) = relay_request(run, request_log).await {
+            if let Some(response) =
+                relay_request(&run, gather.shards.len(), &shares, request_log).await
+            {
                 return response;
             }
         }
@@ -398,32 +404,41 @@
     }
 }
 
-/// Relays a request to a larger instance; returns `None` if this instance has to gather the answer itself.
+/// Relays a request with this many sub-requests to a larger instance; returns `None` if this instance has to gather the
+/// answer itself. `shares` states where the upstreams of the shards are.
 async fn relay_request(
-    run: RelayRun,
+    run: &RelayRun,
+    sub_request_count: usize,
+    shares: &DomainShares,
     request_log: &mut RequestLog,
 ) -> Option<Response<Full<Bytes>>> {
-    request_log.relay = run.relay.instance.to_string();
-    match run.run().await {
-        RelayOutcome::Answered(head, body) => {
-            request_log.reason = "relayed";
-            Some(forwarded_response(head.status, head.headers, body))
-        }
-        RelayOutcome::NotSent(reason) => {
-            request_log.relay_fault = reason;
-            None
-        }
-        RelayOutcome::Failed(reason) => {
-            // This instance does not gather the answer itself: the relay may already have sent each sub-request as
-            // often as the route allows.
-            request_log.reason = "relay_lost";
-            request_log.relay_fault = reason;
-            Some(error_response(
-                StatusCode::BAD_GATEWAY,
-                "the instance that gathered the answer fell silent; the request may have run",
-            ))
+    let fleet = &run.gateway.fleet;
+    let mut tried = Vec::new();
+    while tried.len() < MAX_TRIED_RELAYS {
+        let relay = fleet.choose_relay(sub_request_count, shares, &tried)?;
+        request_log.relay = relay.instance.to_string();
+        match run.relay_to(&relay).await {
+            RelayOutcome::Answered(head, body) => {
+                request_log.reason = "relayed";
+                return Some(forwarded_response(head.status, head.headers, body));
+            }
+            RelayOutcome::NotSent(reason) => {
+                request_log.relay_fault = reason;
+                tried.push(relay.instance);
+            }
+            RelayOutcome::Failed(reason) => {
+                // Nobody gathers the answer again: the relay may already have sent each sub-request as often as the
+                // route allows.
+                request_log.reason = "relay_lost";
+                request_log.relay_fault = reason;
+                return Some(error_response(
+                    StatusCode::BAD_GATEWAY,
+                    "the instance that gathered the answer fell silent; the request may have run",
+                ));
+            }
         }
     }
+    None
 }
 
 /// Builds a response that passes on an answer without its hop-by-hop headers.
--- a/crates/anvilhubd/src/gateway/relay_run.rs
+++ b/crates/anvilhubd/src/gateway/relay_run.rs
@@ -18,10 +18,9 @@
 /// Maximum time in which a relay answers a ping while it works on a request.
 const PING_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Relays a request to a larger instance and reads its answer.
+/// A request that is relayed to a larger instance.
 pub(super) struct RelayRun {
     pub(super) gateway: Arc<Gateway>,
-    pub(super) relay: MemberInfo,
     pub(super) request: Arc<ForwardedRequest>,
     /// The relay headers to add; `waited` is replaced when the request is sent.
     pub(super) relay_headers: RelayHeaders,
@@ -43,10 +42,10 @@
 }
 
 impl RelayRun {
-    /// Relays the request, and counts the outcome in the metrics.
-    pub(super) async fn run(self) -> RelayOutcome {
-        let outcome = self.exchange().await;
-        let relay = &self.relay.instance;
+    /// Relays the request to `relay` and reads its answer. Counts the outcome in the metrics.
+    pub(super) async fn relay_to(&self, relay: &MemberInfo) -> RelayOutcome {
+        let outcome = self.exchange(relay).await;
+        let relay = &relay.instance;
         let label = match &outcome {
             RelayOutcome::Answered(..) => "answered",
             RelayOutcome::NotSent(reason) => {
@@ -63,18 +62,18 @@
     }
 
     /// Sends the request and reads the answer, until the relay fails.
-    async fn exchange(&self) -> RelayOutcome {
+    async fn exchange(&self, relay: &MemberInfo) -> RelayOutcome {
         let opening = timeout(
             CONNECT_TIMEOUT,
-            UpstreamConnection::open_greeted(self.relay.relay_address),
+            UpstreamConnection::open_greeted(relay.relay_address),
         );
         let mut connection = match opening.await {
             Ok(Ok(connection)) => connection,
-            Ok(Err(error)) => return self.record_unreachable(&error),
+            Ok(Err(error)) => return self.record_unreachable(relay, &error),
             Err(_) => {
                 let limit_ms = CONNECT_TIMEOUT.as_millis();
                 let reason = format!("the relay sent no greeting within {limit_ms} ms");
-                return self.record_unreachable(&reason);
+                return self.record_unreachable(relay, &reason);
             }
         };
         let waited = self.gateway.clock.now().since(self.arrived_at);
@@ -88,46 +87,49 @@
         let limit = self.gateway.settings.max_answer_size;
         let answer = connection.send(request, limit, || {});
         tokio::select! {
-            answer = answer => self.classify_answer(answer),
-            reason = self.wait_for_failure() => RelayOutcome::Failed(reason),
+            answer = answer => self.classify_answer(relay, answer),
+            reason = self.wait_for_failure(relay) => RelayOutcome::Failed(reason),
         }
     }
 
     /// Records that the relay could not be reached; the request was not sent.
-    fn record_unreachable(&self, reason: &dyn std::fmt::Display) -> RelayOutcome {
+    fn record_unreachable(
+        &self,
+        relay: &MemberInfo,
+        reason: &dyn std::fmt::Display,
+    ) -> RelayOutcome {
         let reason = reason.to_string();
-        self.gateway
-            .fleet
-            .mark_suspect(&self.relay.instance, &reason);
+        self.gateway.fleet.mark_suspect(&relay.instance, &reason);
         RelayOutcome::NotSent(reason)
     }
 
     /// Decides from the relay's answer how relaying ended.
-    fn classify_answer(&self, answer: Result<(Parts, Bytes), PoolError>) -> RelayOutcome {
+    fn classify_answer(
+        &self,
+        relay: &MemberInfo,
+        answer: Result<(Parts, Bytes), PoolError>,
+    ) -> RelayOutcome {
         match answer {
             Ok((head, body)) => match RelayHeaders::decline_reason(&head.headers) {
                 Some(reason) => RelayOutcome::NotSent(format!("the relay declined: {reason}")),
                 None => RelayOutcome::Answered(head, body),
             },
             Err(error @ (PoolError::Unconnected { .. } | PoolError::Unsent { .. })) => {
-                self.record_unreachable(&error)
+                self.record_unreachable(relay, &error)
             }
             Err(error) => RelayOutcome::Failed(error.to_string()),
         }
     }
 
     /// Waits until the relay leaves a ping unanswered or no time is left, and returns the reason for the log.
-    async fn wait_for_failure(&self) -> String {
+    async fn wait_for_failure(&self, relay: &MemberInfo) -> String {
         loop {
             let waited = self.gateway.clock.now().since(self.arrived_at);
             if waited >= self.answer_timeout {
                 return "no answer in time".to_owned();
             }
             sleep(self.ping_interval.min(self.answer_timeout - waited)).await;
-            let ping = self
-                .gateway
-                .fleet
-                .ping(self.relay.peer_address, PING_TIMEOUT);
+            let ping = self.gateway.fleet.ping(relay.peer_address, PING_TIMEOUT);
             if let Err(error) = ping.await {
                 return error.to_string();
             }
--- a/crates/anvilhubd/src/gateway/route_state.rs
+++ b/crates/anvilhubd/src/gateway/route_state.rs
@@ -1,6 +1,9 @@
+use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{CallerDelay, CallerLatency, TrafficSplitter};
+use anvilhub_coord::ids::SheetVersion;
 use anvilhub_coord::routing::{HedgePolicy, LatencyWindow};
 use anvilhub_coord::time::ClockTime;
 
@@ -22,8 +25,18 @@
     caller_latency: LockCell<CallerLatency>,
     pub(super) splitter: LockCell<TrafficSplitter>,
     latencies: LockCell<LatencyWindow>,
+    domain_shares: LockCell<Option<KnownShares>>,
 }
 
+/// Where the upstreams of a route's shards are, as computed for one generation of upstreams and one configuration.
+struct KnownShares {
+    computed_for: SharesKey,
+    shares: Arc<DomainShares>,
+}
+
+/// Generation of the upstreams, and version of the configuration.
+pub(super) type SharesKey = (u64, SheetVersion);
+
 impl RouteState {
     /// Records the time left that a request states. Returns how long its caller had waited before, and the network
     /// latency to reserve for the answer, at most `max_latency`.
@@ -43,6 +56,25 @@
         (waited, latency)
     }
 
+    /// Returns the shares that were computed for `key`, after computing them if they were not.
+    pub(super) fn domain_shares(
+        &self,
+        key: SharesKey,
+        compute: impl FnOnce() -> DomainShares,
+    ) -> Arc<DomainShares> {
+        self.domain_shares.with(|known| {
+            if let Some(known) = known.as_ref().filter(|known| known.computed_for == key) {
+                return Arc::clone(&known.shares);
+            }
+            let shares = Arc::new(compute());
+            *known = Some(KnownShares {
+                computed_for: key,
+                shares: Arc::clone(&shares),
+            });
+            shares
+        })
+    }
+
     /// Records the latency of an answered attempt.
     pub(super) fn record_latency(&self, now: ClockTime, latency: Duration) {
         self.latencies
