Let a cold fleet settle before it opens connections, and try three relays

Change: no connections ahead of need to gathered shards until a running instance has told of the members, or 2 s have passed (SettlingRule). Change: up to three relays. Tests: settling_rule.rs, relayed_requests::other_relay_gathers.

--- a/crates/anvilhub-coord/src/fleet/mod.rs
+++ b/crates/anvilhub-coord/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod member_info;
 mod reader_rule;
 mod relay_rule;
+mod settling_rule;
 
 pub use contact_estimate::ContactEstimate;
 pub use cpu_cores::CpuCores;
@@ -26,3 +27,4 @@
 pub use member_info::MemberInfo;
 pub use reader_rule::ReaderRule;
 pub use relay_rule::RelayRule;
+pub use settling_rule::SettlingRule;
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -37,6 +37,7 @@
 mod retry_budget;
 mod scenario;
 mod scenario_files;
+mod settling_rule;
 mod shard_owners;
 mod sheet_check;
 mod sheet_diff;
--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -62,9 +62,10 @@
     /// Reads the platform or follows a reader, again and again, until the process ends.
     fn run(mut self) {
         let gossip_loop = GossipLoop::new(Arc::clone(&self.state));
-        if !self.runtime.block_on(gossip_loop.join()) {
+        match self.runtime.block_on(gossip_loop.join()) {
+            true => self.state.record_join(),
             // If all instances start at the same time, reading at once is faster than agreeing on a reader first.
-            self.read();
+            false => self.read(),
         }
         loop {
             let role = self.state.choose_role();
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -5,7 +5,7 @@
 
 use anvilhub_coord::fleet::{
     ContactEstimate, DomainShares, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip,
-    MemberInfo, ReaderRule, RelayRule,
+    MemberInfo, ReaderRule, RelayRule, SettlingRule,
 };
 use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformRevision};
 use anvilhub_coord::time::ClockTime;
@@ -35,6 +35,8 @@
     /// Time of the platform's last answer, in microseconds since the start of `clock`; 0 before the first one.
     last_platform_answer_us: AtomicU64,
     is_platform_unreachable: AtomicBool,
+    /// Whether a running instance told this one which members it knows.
+    has_joined: AtomicBool,
     /// Wakes the calls of followers that wait for an update.
     state_changed: Notify,
 }
@@ -67,6 +69,7 @@
             feed: LockCell::default(),
             last_platform_answer_us: AtomicU64::new(0),
             is_platform_unreachable: AtomicBool::new(false),
+            has_joined: AtomicBool::new(false),
             state_changed: Notify::new(),
         })
     }
@@ -141,6 +144,23 @@
         })
     }
 
+    /// Records that a running instance told this one which members it knows.
+    pub(super) fn record_join(&self) {
+        self.has_joined.store(true, Ordering::Release);
+    }
+
+    /// Returns whether this instance has had the time to hear of the larger members of its fleet.
+    pub(crate) fn is_settled(&self) -> bool {
+        let own_address = self.settings.peer_address;
+        let has_seeds = self.settings.seeds.iter().any(|seed| *seed != own_address);
+        let since_start = self.clock.now().since(ClockTime::default());
+        SettlingRule::default().is_settled(
+            has_seeds,
+            self.has_joined.load(Ordering::Acquire),
+            since_start,
+        )
+    }
+
     /// Returns whether another instance can gather the answers to requests with this many sub-requests.
     pub(crate) fn has_relay(&self, sub_request_count: usize) -> bool {
         self.choose_relay(sub_request_count, &DomainShares::default(), &[])
--- a/crates/anvilhubd/src/gateway/connection_warmer.rs
+++ b/crates/anvilhubd/src/gateway/connection_warmer.rs
@@ -33,7 +33,8 @@
             return;
         };
         let fleet = &self.gateway.fleet;
-        for service in table.contacted_services(|shards| fleet.has_relay(shards)) {
+        let is_settled = fleet.is_settled();
+        for service in table.contacted_services(|shards| !is_settled || fleet.has_relay(shards)) {
             let groups = self.gateway.groups.load();
             let Some(group) = groups.get(service) else {
                 continue;
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -33,7 +33,7 @@
 /// after it.
 const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(60);
 /// Maximum number of relays that are tried for a request. Each that cannot be reached costs a part of the latency target.
-const MAX_TRIED_RELAYS: usize = 1;
+const MAX_TRIED_RELAYS: usize = 3;
 /// Time left that is assumed for a caller that states none, until its route and the route's timeout are known.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(5);
 
