Bound the memory of all answers that are read at once

Cause: each answer may take 8 MiB, and nothing bounded them together. Forty upstreams that send bytes without end made the gateway use 343,368 kB, twice the memory of the smallest instance, which the platform then kills. Change: one budget of 16 MiB for the answers that a process is reading; an answer that finds it used up is broken off, its connection is closed, and the attempt counts as one that may have run.

--- a/crates/anvilhubd/src/fanout/sub_request_attempt.rs
+++ b/crates/anvilhubd/src/fanout/sub_request_attempt.rs
@@ -41,9 +41,11 @@
             Err(PoolError::Refused { .. }) => AttemptState::Refused,
             Err(PoolError::Broken { .. }) => AttemptState::Broken,
             Err(PoolError::Timeout { .. }) => AttemptState::TimedOut,
-            Err(PoolError::BadAnswer { .. } | PoolError::OversizedAnswer { .. }) => {
-                AttemptState::BadAnswer
-            }
+            Err(
+                PoolError::BadAnswer { .. }
+                | PoolError::OversizedAnswer { .. }
+                | PoolError::ExhaustedBuffer { .. },
+            ) => AttemptState::BadAnswer,
         }
     }
 }
--- a/crates/anvilhubd/src/fanout/sub_request_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_request_run.rs
@@ -318,6 +318,8 @@
         PoolError::Unsent { .. } | PoolError::Timeout { .. } | PoolError::Broken { .. } => {
             MissingReason::Timeout
         }
-        PoolError::BadAnswer { .. } | PoolError::OversizedAnswer { .. } => MissingReason::BadAnswer,
+        PoolError::BadAnswer { .. }
+        | PoolError::OversizedAnswer { .. }
+        | PoolError::ExhaustedBuffer { .. } => MissingReason::BadAnswer,
     }
 }
--- a/crates/anvilhubd/src/pool/mod.rs
+++ b/crates/anvilhubd/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to upstreams.
 
 mod answer_body;
+mod answer_budget;
 mod connection_lease;
 mod connection_set;
 mod connection_set_state;
--- a/crates/anvilhubd/src/pool/pool_error.rs
+++ b/crates/anvilhubd/src/pool/pool_error.rs
@@ -34,4 +34,7 @@
         address: SocketAddr,
         limit: ByteSize,
     },
+    /// The answers that this process is reading take up all the memory that it has for them.
+    #[display("the answer of {address} was broken off: too many large answers arrive at once")]
+    ExhaustedBuffer { address: SocketAddr },
 }
--- a/crates/anvilhubd/src/pool/upstream_connection.rs
+++ b/crates/anvilhubd/src/pool/upstream_connection.rs
@@ -15,6 +15,7 @@
 
 use crate::caller::GREETING;
 
+use super::answer_budget::ANSWER_BUDGET;
 use super::{PoolError, Result};
 
 /// Maximum size of an answer's head. Upstreams send a few hundred bytes.
@@ -163,6 +164,7 @@
             return Err(oversized);
         }
         let mut bytes = BytesMut::new();
+        let mut reservation = ANSWER_BUDGET.reserve();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| self.broken_error(&error))?;
             on_bytes();
@@ -172,6 +174,11 @@
             if (bytes.len() + data.len()) as u64 > max_answer_size.get() {
                 return Err(oversized);
             }
+            if !reservation.grow(data.len()) {
+                return Err(PoolError::ExhaustedBuffer {
+                    address: self.address,
+                });
+            }
             bytes.extend_from_slice(&data);
         }
         Ok(bytes.freeze())
