--- a/crates/anvilhubd/src/pool/answer_budget.rs
+++ b/crates/anvilhubd/src/pool/answer_budget.rs
@@ -2,6 +2,8 @@
 
 use anvilhub_coord::ids::ByteSize;
 
+use super::budget_reservation::BudgetReservation;
+
 /// Maximum size of all answers together that this process holds while it reads them. Many times what requests at full
 /// load need, and less than an eighth of the memory of the smallest instances.
 const MAX_BUFFERED_SIZE: ByteSize = ByteSize(16 * 1024 * 1024);
@@ -29,32 +31,17 @@
 
     /// Returns a reservation of nothing, which grows with the answer and is released when it is dropped.
     pub(super) fn reserve(&'static self) -> BudgetReservation {
-        BudgetReservation {
-            budget: self,
-            reserved: 0,
-        }
+        BudgetReservation::new(self)
     }
-}
 
-/// The part of a budget that one answer takes up.
-pub(super) struct BudgetReservation {
-    budget: &'static AnswerBudget,
-    reserved: u64,
-}
-
-impl BudgetReservation {
-    /// Reserves `size` more bytes. Returns false if the budget does not have them.
-    #[must_use]
-    pub(super) fn grow(&mut self, size: usize) -> bool {
-        let size = size as u64;
-        let before = self.budget.used.fetch_add(size, Ordering::AcqRel);
-        self.reserved += size;
-        before + size <= self.budget.max_size.get()
+    /// Takes `size` bytes. Returns whether the budget had them; they are taken in any case.
+    pub(super) fn take(&self, size: u64) -> bool {
+        let before = self.used.fetch_add(size, Ordering::AcqRel);
+        before + size <= self.max_size.get()
     }
-}
 
-impl Drop for BudgetReservation {
-    fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.reserved, Ordering::AcqRel);
+    /// Gives `size` bytes back.
+    pub(super) fn give_back(&self, size: u64) {
+        self.used.fetch_sub(size, Ordering::AcqRel);
     }
 }
--- a/crates/anvilhubd/src/pool/mod.rs
+++ b/crates/anvilhubd/src/pool/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod answer_budget;
+mod budget_reservation;
 mod connection_lease;
 mod connection_set;
 mod connection_set_state;
