Log the limit that an upstream names, and the attempts sent to it

What callers saw: nothing, see docs/incidents/limited-replica-overrun.md. Cause: not known yet; three hypotheses. Change: the adapter decodes the header of the limit. An instance logs each change of a limit that it hears, and once a second how many first attempts and how many hedges and retries it sent to each upstream with a limit, counted by anvilhub_limited_sends_total. No decision uses them.

--- a/crates/anvilhub-coord/src/gateway/upstream_record.rs
+++ b/crates/anvilhub-coord/src/gateway/upstream_record.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use crate::ids::{FailureDomain, Incarnation, ServiceName, SlotCount, UpstreamId};
+use crate::limit::UpstreamProcess;
 
 /// What an upstream announces about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +26,14 @@
 }
 
 impl UpstreamRecord {
+    /// Returns which process the record describes.
+    pub fn process(&self) -> UpstreamProcess {
+        UpstreamProcess {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Returns whether `other` describes the same process.
     pub fn is_same_process(&self, other: &Self) -> bool {
         (&self.id, self.incarnation, self.address, &self.service)
--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gather;
 pub mod ids;
 pub mod keyspace;
+pub mod limit;
 pub mod membership;
 pub mod mutation;
 pub mod routing;
--- a/crates/anvilhubd/src/gateway/answer_metadata.rs
+++ b/crates/anvilhubd/src/gateway/answer_metadata.rs
@@ -1,4 +1,5 @@
 use anvilhub_coord::gateway::SlotLoad;
+use anvilhub_coord::limit::StatedLimit;
 use hyper::header::HeaderValue;
 
 /// What a [`HeaderCodec`](super::HeaderCodec) reads from the head of an upstream's answer.
@@ -14,4 +15,6 @@
     pub signature: Option<HeaderValue>,
     /// Load that the upstream reports.
     pub load: Option<SlotLoad>,
+    /// Limit of requests from all instances together that the upstream names.
+    pub limit: StatedLimit,
 }
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -191,6 +191,9 @@
                 .stats
                 .with(|stats| stats.record_load(now, load));
         }
+        let has_run = metadata.signature.is_some() && !metadata.is_not_run;
+        self.gateway
+            .record_limit(&self.upstream, metadata.limit, has_run);
         if let Some(timeout) = parse_idle_timeout(&head.headers) {
             self.upstream
                 .idle_connections
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -238,6 +238,7 @@
             RepeatPolicy::NonIdempotent => None,
         };
         sub_request.tried_upstreams.push(Arc::clone(&upstream));
+        self.gateway.record_limited_send(&upstream, is_extra);
         self.start_attempt(index, upstream);
         true
     }
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvilhub_coord::ids::ByteSize;
 use crossbeam::channel::{Receiver, bounded};
@@ -26,6 +26,8 @@
 
 /// How often removed upstreams are dropped and missing connections are opened.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
+/// How often the attempts sent to upstreams with a limit are logged.
+const LIMIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum idle time of a caller's connection. Longer than callers keep idle connections, so that callers close them
 /// first.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -137,6 +139,7 @@
 async fn maintain_upstreams(gateway: Arc<Gateway>) {
     let warmer = ConnectionWarmer::new(Arc::clone(&gateway));
     let mut was_ready = false;
+    let mut limits_reported_at = Instant::now();
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         gateway.drop_removed_upstreams();
@@ -145,6 +148,10 @@
             was_ready = is_ready;
             info!(ready = is_ready, draining = gateway.is_draining(); "readiness changed");
         }
+        if limits_reported_at.elapsed() >= LIMIT_REPORT_INTERVAL {
+            limits_reported_at = Instant::now();
+            gateway.report_limited_sends();
+        }
         if !gateway.is_draining() {
             warmer.open_missing();
         }
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{LeavingState, RankedReplica, ReplicaStats, UpstreamRecord};
+use anvilhub_coord::limit::UpstreamProcess;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
@@ -15,6 +16,8 @@
 /// it.
 pub(super) struct TrackedUpstream {
     pub(super) record: UpstreamRecord,
+    /// Which process the record describes.
+    pub(super) process: UpstreamProcess,
     pub(super) stats: LockCell<ReplicaStats>,
     pub(super) idle_connections: LockCell<IdleConnections>,
     /// One permit for each connection that this instance may use at once.
@@ -27,6 +30,7 @@
 impl TrackedUpstream {
     pub(super) fn new(record: UpstreamRecord, max_connections: usize) -> Self {
         Self {
+            process: record.process(),
             record,
             stats: LockCell::default(),
             idle_connections: LockCell::default(),
