Divide the limit that an upstream names among the instances

What callers saw: nothing; an upstream in need got what it got before, up to six times its limit beside a burst of callers. Cause: a limit on the sum of all instances that no instance reads. Class: a rule on a total that each instance could only break together with the others, so that no instance's own view shows it. Change: LimitSharers divides a limit among as many instances as it has requests a second, chosen by rendezvous hashing among the members that gather; the others leave the upstream alone. SendAllowance starts empty and saves half a second. Instances pass limits on with follow and exchange, so that one that sends nothing knows them and hears of their end. Every send counts: first attempts, retries, parts; hedges are not sent to an upstream with a limit. A request that too few upstreams may get is refused before anything is sent, with the time at which there is room. A statement is believed for 10 s, then one request asks; after 60 s without news the limit is forgotten.

--- a/crates/anvilhub-coord/src/fleet/fleet_table.rs
+++ b/crates/anvilhub-coord/src/fleet/fleet_table.rs
@@ -4,7 +4,7 @@
 use crate::ids::{FailureDomain, InstanceId};
 use crate::time::ClockTime;
 
-use super::{MemberGossip, MemberInfo};
+use super::{MemberGossip, MemberInfo, RelayRule};
 
 /// Maximum number of members kept per failure domain. Only the largest ones are followed or used as relays, and every
 /// exchange carries all that are kept.
@@ -159,6 +159,31 @@
         candidates.map(|member| &member.info)
     }
 
+    /// Returns the instances that share the limits that upstreams name: the largest members of each failure domain, and
+    /// of these the ones that no other is twice as large as, since smaller ones relay most of their sub-requests. A
+    /// member that has fallen silent counts until its information is dropped, since it may still send.
+    pub fn limit_sharers(&self, now: ClockTime) -> Vec<&InstanceId> {
+        let known = self
+            .members
+            .values()
+            .filter(|member| now.since(member.sent_at) < MAX_INFO_AGE)
+            .map(|member| &member.info);
+        let mut ranked: Vec<&MemberInfo> = known
+            .chain([&self.own_info])
+            .filter(|info| !info.is_leaving)
+            .collect();
+        sort_by_rank(&mut ranked);
+        let max_cores = ranked.first().map_or(0.0, |info| info.cores.get());
+        let mut counts: HashMap<&FailureDomain, usize> = HashMap::new();
+        ranked.retain(|info| {
+            let count = counts.entry(&info.failure_domain).or_default();
+            *count += 1;
+            *count <= MAX_MEMBERS_PER_DOMAIN
+                && info.cores.get() * RelayRule::default().min_size_ratio > max_cores
+        });
+        ranked.into_iter().map(|info| &info.instance).collect()
+    }
+
     fn usable_records(&self, now: ClockTime) -> impl Iterator<Item = &FleetMember> {
         self.members.values().filter(move |member| {
             let is_suspect = member.suspect_until.is_some_and(|until| now < until);
--- a/crates/anvilhub-coord/src/gateway/hedge_rule.rs
+++ b/crates/anvilhub-coord/src/gateway/hedge_rule.rs
@@ -3,7 +3,8 @@
 /// Decides whether a hedge may be sent to an upstream.
 ///
 /// Designed for a peak of demand at which sub-requests are late because queues are full: a hedge would join the queue
-/// of the other upstream, be answered too late and delay other requests.
+/// of the other upstream, be answered too late and delay other requests. An upstream that names a limit keeps its room
+/// for first attempts and retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HedgeRule {
     /// Maximum length of the queue in front of a hedge, in rounds of one request per slot.
@@ -21,6 +22,6 @@
 impl HedgeRule {
     /// Returns whether a hedge may be sent to `replica`.
     pub fn allows(&self, replica: &RankedReplica) -> bool {
-        replica.queue_rounds <= self.max_queue_rounds
+        !replica.is_limited && replica.queue_rounds <= self.max_queue_rounds
     }
 }
--- a/crates/anvilhub-coord/src/gateway/replica_ranker.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_ranker.rs
@@ -5,13 +5,16 @@
     pub cost: f64,
     /// Length of the queue in front of a new request, in rounds of one request per slot.
     pub queue_rounds: f64,
+    /// Whether it names a limit of requests; the others are preferred unless they are busy.
+    pub is_limited: bool,
     /// Whether it is in a cooldown after failures.
     pub is_cooling_down: bool,
     /// Whether it is leaving or may have been removed; such an upstream is used only if there is no other one.
     pub is_leaving: bool,
     /// Whether it is in the failure domain of this instance.
     pub is_local: bool,
-    /// Whether it must not be chosen: an earlier attempt was sent to it, it was removed, or it has left.
+    /// Whether it must not be chosen: an earlier attempt was sent to it, it was removed, it has left, or its limit has
+    /// no room.
     pub is_excluded: bool,
 }
 
@@ -23,6 +26,8 @@
 pub struct ReplicaRanker {
     /// Extra cost of an upstream in another failure domain, in typical latencies.
     pub remote_cost: f64,
+    /// Extra cost of an upstream that names a limit, in typical latencies.
+    pub limited_cost: f64,
     /// Maximum random extra cost, in typical latencies.
     pub max_jitter: f64,
 }
@@ -31,6 +36,7 @@
     fn default() -> Self {
         Self {
             remote_cost: 1.6,
+            limited_cost: 1.0,
             max_jitter: 0.2,
         }
     }
@@ -62,7 +68,12 @@
             } else {
                 self.remote_cost
             };
-            let cost = candidate.cost + remote_cost + self.max_jitter * random();
+            let limited_cost = match candidate.is_limited {
+                true => self.limited_cost,
+                false => 0.0,
+            };
+            let extra_cost = remote_cost + limited_cost + self.max_jitter * random();
+            let cost = candidate.cost + extra_cost;
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
--- a/crates/anvilhub-coord/tests/replica_ranker.rs
+++ b/crates/anvilhub-coord/tests/replica_ranker.rs
@@ -12,6 +12,7 @@
     RankedReplica {
         cost,
         queue_rounds: 0.0,
+        is_limited: false,
         is_cooling_down: false,
         is_leaving: false,
         is_local: true,
--- a/crates/anvilhubd/src/fleet/exchange_answer.rs
+++ b/crates/anvilhubd/src/fleet/exchange_answer.rs
@@ -1,4 +1,5 @@
 use anvilhub_coord::fleet::MemberGossip;
+use anvilhub_coord::limit::LimitNote;
 use serde::{Deserialize, Serialize};
 
 /// Answer of an instance to another one that sent it member information.
@@ -10,4 +11,7 @@
     /// Whether the answering instance has the platform's values and considers the platform reachable.
     #[serde(rename = "has_news")]
     pub(crate) is_feed_current: bool,
+    /// The limits of upstreams that the sender knows; none from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) limits: Vec<LimitNote>,
 }
--- a/crates/anvilhubd/src/fleet/fleet_api.rs
+++ b/crates/anvilhubd/src/fleet/fleet_api.rs
@@ -1,4 +1,5 @@
 use anvilhub_coord::fleet::MemberGossip;
+use anvilhub_coord::limit::LimitNote;
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
 
@@ -7,11 +8,13 @@
 /// Calls between the instances that run the gateway.
 #[rpc(server, client, namespace = "fleet")]
 pub(crate) trait FleetApi {
-    /// Records the members that the calling instance knows, and returns those that this instance knows.
+    /// Records the members and the limits of upstreams that the calling instance knows, and returns those that this
+    /// instance knows. An instance of an earlier version sends no limits.
     #[method(name = "exchange")]
     async fn exchange(
         &self,
         members: Vec<MemberGossip>,
+        limits: Option<Vec<LimitNote>>,
     ) -> Result<ExchangeAnswer, ErrorObjectOwned>;
 
     /// Returns changes of the platform's values as soon as there are any, at the latest after the wait of the call.
--- a/crates/anvilhubd/src/fleet/fleet_server.rs
+++ b/crates/anvilhubd/src/fleet/fleet_server.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::MemberGossip;
+use anvilhub_coord::limit::LimitNote;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::ServerHandle;
 use jsonrpsee::types::ErrorObjectOwned;
@@ -34,17 +35,21 @@
     async fn exchange(
         &self,
         members: Vec<MemberGossip>,
+        limits: Option<Vec<LimitNote>>,
     ) -> Result<ExchangeAnswer, ErrorObjectOwned> {
         self.state.record_gossip(members);
+        self.state.record_limit_notes(&limits.unwrap_or_default());
         Ok(ExchangeAnswer {
             members: self.state.collect_gossip(),
             is_feed_current: self.state.is_feed_current(),
+            limits: self.state.collect_limit_notes(),
         })
     }
 
     async fn follow(&self, call: FollowCall) -> Result<FollowAnswer, ErrorObjectOwned> {
         let wait = Duration::from_millis(call.wait_ms).min(MAX_FOLLOW_WAIT);
         self.state.record_contact(call.sender.clone());
+        self.state.record_limit_notes(&call.limits);
         Ok(self.state.answer_follower(&call, wait).await)
     }
 
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -7,7 +7,10 @@
     ContactEstimate, DomainShares, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip,
     MemberInfo, ReaderRule, RelayRule, SettlingRule,
 };
-use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformRevision};
+use anvilhub_coord::ids::{CallRate, Incarnation, InstanceId, PlatformRevision};
+use anvilhub_coord::limit::{
+    LimitChange, LimitNote, LimitSharers, LimitTable, SendPermit, StatedLimit, UpstreamProcess,
+};
 use anvilhub_coord::time::ClockTime;
 use jsonrpsee::core::client::Client;
 use log::{info, warn};
@@ -22,6 +25,9 @@
 
 use super::{FleetApiClient, FleetSettings, FollowAnswer, FollowCall};
 
+/// How long the list of instances that share limits is used before it is computed again.
+const SHARERS_LIFETIME: Duration = Duration::from_millis(200);
+
 /// What this instance knows about the other members and the platform's values. Shared by the threads and calls that
 /// update it.
 pub(crate) struct FleetState {
@@ -35,6 +41,10 @@
     /// Time of the platform's last answer, in microseconds since the start of `clock`; 0 before the first one.
     last_platform_answer_us: AtomicU64,
     is_platform_unreachable: AtomicBool,
+    /// The limits that upstreams name.
+    limits: LockCell<LimitTable>,
+    /// The instances that share limits, and when they were computed.
+    limit_sharers: LockCell<Option<(ClockTime, Arc<LimitSharers>)>>,
     /// Whether a running instance told this one which members it knows.
     has_joined: AtomicBool,
     /// Wakes the calls of followers that wait for an update.
@@ -69,6 +79,8 @@
             feed: LockCell::default(),
             last_platform_answer_us: AtomicU64::new(0),
             is_platform_unreachable: AtomicBool::new(false),
+            limits: LockCell::default(),
+            limit_sharers: LockCell::default(),
             has_joined: AtomicBool::new(false),
             state_changed: Notify::new(),
         })
@@ -189,6 +201,98 @@
         })
     }
 
+    /// Records the limit that an answer of an upstream states, and logs a change. `has_run` is whether the upstream ran
+    /// the request.
+    pub(crate) fn record_limit(
+        &self,
+        process: &UpstreamProcess,
+        stated: StatedLimit,
+        has_run: bool,
+    ) {
+        let now = self.clock.now();
+        let change = self
+            .limits
+            .with(|limits| limits.record_answer(now, process, stated, has_run));
+        log_limit_change(process, change, "upstream");
+    }
+
+    /// Records the limits that another instance passed on, and logs changes.
+    pub(super) fn record_limit_notes(&self, notes: &[LimitNote]) {
+        let now = self.clock.now();
+        for note in notes {
+            let change = self.limits.with(|limits| limits.record_note(now, note));
+            log_limit_change(&note.upstream, change, "instance");
+        }
+    }
+
+    /// Returns the limits to pass on to another instance.
+    pub(super) fn collect_limit_notes(&self) -> Vec<LimitNote> {
+        let now = self.clock.now();
+        self.limits.with(|limits| limits.notes(now))
+    }
+
+    /// Returns whether a request may be sent to an upstream under the limit that it names.
+    pub(crate) fn send_permit(&self, now: ClockTime, process: &UpstreamProcess) -> SendPermit {
+        self.limits.with(|limits| {
+            limits.permit(now, process, |limit| {
+                let own = &self.table.with(|table| table.own_info().instance.clone());
+                self.limit_sharers(now).share(own, process, limit)
+            })
+        })
+    }
+
+    /// Records an attempt that is sent to an upstream; `is_extra` is whether it is a hedge or a retry.
+    pub(crate) fn record_limited_send(&self, process: &UpstreamProcess, is_extra: bool) {
+        let now = self.clock.now();
+        self.limits
+            .with(|limits| limits.record_send(now, process, is_extra));
+    }
+
+    /// Records that an attempt was not sent to the upstream after all.
+    pub(crate) fn record_unsent(&self, process: &UpstreamProcess) {
+        self.limits.with(|limits| limits.record_unsent(process));
+    }
+
+    /// Logs the attempts sent to each upstream with a limit since the last call, and counts them in the metrics.
+    pub(crate) fn report_limited_sends(&self) {
+        let now = self.clock.now();
+        let counts = self.limits.with(|limits| {
+            limits.forget_old(now);
+            limits.take_send_counts()
+        });
+        metrics::gauge!("anvilhub_limited_upstreams").set(counts.len() as f64);
+        for (process, limit, sends) in counts {
+            for (kind, count) in [("first", sends.first), ("extra", sends.extra)] {
+                metrics::counter!("anvilhub_limited_sends_total", "kind" => kind)
+                    .increment(u64::from(count));
+            }
+            info!(
+                upstream:% = process.id, limit_per_s = limit.get(), first = sends.first, extra = sends.extra;
+                "sends to a limited upstream"
+            );
+        }
+    }
+
+    /// Returns the instances that share limits. An instance that does not know the others yet shares none.
+    fn limit_sharers(&self, now: ClockTime) -> Arc<LimitSharers> {
+        self.limit_sharers.with(|known| {
+            if let Some((computed_at, sharers)) = known.as_ref()
+                && now.since(*computed_at) < SHARERS_LIFETIME
+            {
+                return Arc::clone(sharers);
+            }
+            let members = match self.is_settled() {
+                true => self
+                    .table
+                    .with(|table| table.limit_sharers(now).into_iter().cloned().collect()),
+                false => Vec::new(),
+            };
+            let sharers = Arc::new(LimitSharers::new(members));
+            *known = Some((now, Arc::clone(&sharers)));
+            sharers
+        })
+    }
+
     /// Returns the revision up to which this instance has all changes; `None` before the first read.
     pub(crate) fn revision(&self) -> Option<PlatformRevision> {
         self.feed.with(|feed| feed.log.revision())
@@ -250,6 +354,7 @@
             estimate.earliest_contact()
         });
         let age = contact.map(|contact| now.since(contact));
+        self.record_limit_notes(&answer.limits);
         let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
         let is_unreachable = answer.is_platform_unreachable || !is_fresh;
         let last_outage = answer
@@ -350,8 +455,10 @@
             false => Vec::new(),
         };
         let sender = self.own_info();
+        let limits = self.collect_limit_notes();
         self.feed.with(|feed| FollowAnswer {
             sender,
+            limits,
             update: feed.log.changes_since(call.after),
             held_ms: u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX),
             platform_age_ms: age_ms(self.last_platform_answer()),
@@ -380,6 +487,17 @@
     }
 }
 
+/// Logs a change of the limit of an upstream. `source` is who told this instance.
+fn log_limit_change(process: &UpstreamProcess, change: Option<LimitChange>, source: &'static str) {
+    if let Some(change) = change {
+        info!(
+            upstream:% = process.id, limit_per_s:? = change.limit.map(CallRate::get),
+            before:? = change.before.map(CallRate::get), source;
+            "upstream limit changed"
+        );
+    }
+}
+
 /// What a reader's answer changes at its follower.
 pub(super) struct ReaderUpdate {
     /// The changes that were not known before; `None` if the answer held no update or an older one.
--- a/crates/anvilhubd/src/fleet/follow_answer.rs
+++ b/crates/anvilhubd/src/fleet/follow_answer.rs
@@ -1,4 +1,5 @@
 use anvilhub_coord::fleet::{FeedUpdate, MemberGossip, MemberInfo};
+use anvilhub_coord::limit::LimitNote;
 use serde::{Deserialize, Serialize};
 
 /// Answer of a reader to a follower.
@@ -24,4 +25,7 @@
     /// The members that the reader knows; empty unless the call asked for them.
     #[serde(rename = "notes")]
     pub(crate) members: Vec<MemberGossip>,
+    /// The limits of upstreams that the sender knows; none from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) limits: Vec<LimitNote>,
 }
--- a/crates/anvilhubd/src/fleet/follow_call.rs
+++ b/crates/anvilhubd/src/fleet/follow_call.rs
@@ -1,5 +1,6 @@
 use anvilhub_coord::fleet::MemberInfo;
 use anvilhub_coord::ids::PlatformRevision;
+use anvilhub_coord::limit::LimitNote;
 use serde::{Deserialize, Serialize};
 
 /// Call of a follower that asks a reader for changes of the platform's values. The reader answers as soon as it has
@@ -19,4 +20,7 @@
     pub(crate) wants_members: bool,
     /// Maximum time for which the reader waits for changes, in milliseconds.
     pub(crate) wait_ms: u64,
+    /// The limits of upstreams that the sender knows; none from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) limits: Vec<LimitNote>,
 }
--- a/crates/anvilhubd/src/fleet/gossip_loop.rs
+++ b/crates/anvilhubd/src/fleet/gossip_loop.rs
@@ -114,14 +114,16 @@
     async fn exchange(&self, address: SocketAddr) -> Result<ExchangeAnswer, PeerError> {
         let call_timeout = self.state.settings.call_timeout;
         let members = self.state.collect_gossip();
+        let limits = Some(self.state.collect_limit_notes());
         let answer = self
             .state
             .clients
             .call(address, call_timeout, |client| async move {
-                client.exchange(members).await
+                client.exchange(members, limits).await
             })
             .await?;
         self.state.record_gossip(answer.members.clone());
+        self.state.record_limit_notes(&answer.limits);
         Ok(answer)
     }
 }
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -63,7 +63,10 @@
             }
             AttemptOutcome::FailedAtUpstream(_) => guard.record_failure(FailureKind::Broken),
             AttemptOutcome::NotRun { .. } => guard.record_refusal(),
-            AttemptOutcome::NotSent { .. } => guard.record_failure(FailureKind::Unconnected),
+            AttemptOutcome::NotSent { .. } => {
+                self.gateway.fleet.record_unsent(&self.upstream.process);
+                guard.record_failure(FailureKind::Unconnected);
+            }
             AttemptOutcome::Unknown { kind, .. } => guard.record_failure(*kind),
         }
         outcome
@@ -193,7 +196,8 @@
         }
         let has_run = metadata.signature.is_some() && !metadata.is_not_run;
         self.gateway
-            .record_limit(&self.upstream, metadata.limit, has_run);
+            .fleet
+            .record_limit(&self.upstream.process, metadata.limit, has_run);
         if let Some(timeout) = parse_idle_timeout(&head.headers) {
             self.upstream
                 .idle_connections
--- a/crates/anvilhubd/src/gateway/fanout_outcome.rs
+++ b/crates/anvilhubd/src/gateway/fanout_outcome.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::{SubRequest, UpstreamAnswer};
 use anvilhub_coord::gateway::TopRecords;
 
@@ -17,4 +19,7 @@
     pub(super) records: TopRecords,
     /// Number of hedges and retries.
     pub(super) extra_send_count: u32,
+    /// Expected time until enough upstreams have room under the limits that they name; `None` if the request was not
+    /// refused because of limits.
+    pub(super) limit_wait: Option<Duration>,
 }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -4,6 +4,7 @@
 use anvilhub_coord::gateway::{
     CutoffVerdict, HedgeRule, RankedReplica, ReplicaRanker, SkipRule, SubRequestState, TopRecords,
 };
+use anvilhub_coord::limit::SendPermit;
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -81,6 +82,9 @@
         let choices: Vec<Option<UpstreamChoice>> = (0..self.sub_requests.len())
             .map(|index| self.choose_upstream(index, now))
             .collect();
+        if choices.iter().flatten().count() < self.plan.cutoff.min_sub_requests {
+            return self.refuse(&choices, now);
+        }
         let skipped = self.choose_skipped(&choices);
         for (index, choice) in choices.into_iter().enumerate() {
             match (skipped.contains(&index), choice) {
@@ -122,15 +126,46 @@
         }
     }
 
+    /// Ends a request that cannot be answered, since too few of its services have an upstream that may get it now.
+    /// Nothing has been sent.
+    fn refuse(mut self, choices: &[Option<UpstreamChoice>], now: ClockTime) -> FanoutOutcome {
+        let missing_count = self.plan.cutoff.min_sub_requests - choices.iter().flatten().count();
+        let mut waits = Vec::new();
+        for (sub_request, choice) in self.sub_requests.iter_mut().zip(choices) {
+            let group = sub_request.group.as_ref().filter(|_| choice.is_none());
+            let upstreams = group.into_iter().flat_map(|group| &group.upstreams);
+            let wait = upstreams
+                .filter(|upstream| !upstream.is_removed())
+                .filter_map(|upstream| {
+                    match self.gateway.fleet.send_permit(now, &upstream.process) {
+                        SendPermit::Denied { wait } => Some(wait),
+                        SendPermit::Unlimited | SendPermit::Granted => None,
+                    }
+                })
+                .min();
+            if let Some(wait) = wait {
+                sub_request.outcome = SubRequestOutcome::Ended("limited".to_owned());
+                waits.push(wait);
+            }
+        }
+        waits.sort();
+        let limit_wait = waits.get(missing_count - 1).copied();
+        FanoutOutcome {
+            limit_wait,
+            ..self.finish(false)
+        }
+    }
+
     /// Returns the indexes of the sub-requests that are not sent because their answers are expected too late. Enough
     /// others remain for an answer.
     fn choose_skipped(&self, choices: &[Option<UpstreamChoice>]) -> Vec<usize> {
         let cutoff = &self.plan.cutoff;
         let rule = SkipRule {
             max_expected_time: cutoff.target_cutoff * SKIP_FACTOR,
-            max_skips: self
-                .sub_requests
-                .len()
+            max_skips: choices
+                .iter()
+                .flatten()
+                .count()
                 .saturating_sub(cutoff.min_sub_requests),
         };
         if rule.max_skips == 0 || rule.max_expected_time.is_zero() {
@@ -238,7 +273,9 @@
             RepeatPolicy::NonIdempotent => None,
         };
         sub_request.tried_upstreams.push(Arc::clone(&upstream));
-        self.gateway.record_limited_send(&upstream, is_extra);
+        self.gateway
+            .fleet
+            .record_limited_send(&upstream.process, is_extra);
         self.start_attempt(index, upstream);
         true
     }
@@ -253,7 +290,9 @@
             .iter()
             .map(|upstream| {
                 let was_tried = sub_request.was_sent_to(upstream);
-                upstream.to_candidate(now, self.plan.typical_latency, settings, was_tried)
+                let permit = self.gateway.fleet.send_permit(now, &upstream.process);
+                let typical_latency = self.plan.typical_latency;
+                upstream.to_candidate(now, typical_latency, settings, permit, was_tried)
             })
             .collect();
         let chosen = ReplicaRanker::default().choose(
@@ -355,6 +394,7 @@
             records: self.records,
             extra_send_count: self.extra_send_count,
             sub_requests: self.sub_requests,
+            limit_wait: None,
         }
     }
 }
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -5,8 +5,7 @@
 
 use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{RouteCatalog, TimerLag, UpstreamRecord};
-use anvilhub_coord::ids::{CallRate, ServiceName, SheetVersion};
-use anvilhub_coord::limit::{LimitTable, StatedLimit};
+use anvilhub_coord::ids::{ServiceName, SheetVersion};
 use anvilhub_coord::routing::RetryBudget;
 use anvilhub_coord::time::ClockTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -58,8 +57,6 @@
     /// Time of the last log line about an exhausted budget, in microseconds since the start of `clock`; 0 before the
     /// first one.
     last_budget_log_us: AtomicU64,
-    /// The limits that upstreams name.
-    limits: LockCell<LimitTable>,
     /// How late timers of this instance fire.
     pub(super) timer_lag: LockCell<TimerLag>,
     /// Wakes requests that wait for the first configuration and the first list of upstreams.
@@ -86,7 +83,6 @@
             retry_budgets: LockCell::default(),
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
-            limits: LockCell::default(),
             timer_lag: LockCell::default(),
             state_changed: Notify::new(),
         })
@@ -144,46 +140,6 @@
         }
     }
 
-    /// Records the limit that an answer of an upstream states, and logs a change. `has_run` is whether the upstream ran
-    /// the request.
-    pub(super) fn record_limit(
-        &self,
-        upstream: &TrackedUpstream,
-        stated: StatedLimit,
-        has_run: bool,
-    ) {
-        let change = self
-            .limits
-            .with(|limits| limits.record_answer(&upstream.process, stated, has_run));
-        if let Some(change) = change {
-            info!(
-                upstream:% = upstream.record.id, service:% = upstream.record.service,
-                limit_per_s:? = change.limit.map(CallRate::get), before:? = change.before.map(CallRate::get);
-                "upstream limit changed"
-            );
-        }
-    }
-
-    /// Counts an attempt that is sent to an upstream with a limit; `is_extra` is whether it is a hedge or a retry.
-    pub(super) fn record_limited_send(&self, upstream: &TrackedUpstream, is_extra: bool) {
-        self.limits
-            .with(|limits| limits.record_send(&upstream.process, is_extra));
-    }
-
-    /// Logs the attempts sent to each upstream with a limit since the last call, and counts them in the metrics.
-    pub(super) fn report_limited_sends(&self) {
-        for (process, limit, sends) in self.limits.with(LimitTable::take_send_counts) {
-            for (kind, count) in [("first", sends.first), ("extra", sends.extra)] {
-                metrics::counter!("anvilhub_limited_sends_total", "kind" => kind)
-                    .increment(u64::from(count));
-            }
-            info!(
-                upstream:% = process.id, limit_per_s = limit.get(), first = sends.first, extra = sends.extra;
-                "sends to a limited upstream"
-            );
-        }
-    }
-
     /// Drops the upstreams whose removal time has come.
     pub(super) fn drop_removed_upstreams(&self) {
         let now = self.clock.now();
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -304,8 +304,11 @@
         }
         match (outcome.may_have_run, outcome.is_late) {
             (false, _) => {
-                request_log.reason = "not_run";
-                not_run_response(QUEUE_DRAIN_TIME, time_left)
+                request_log.reason = match outcome.limit_wait {
+                    Some(_) => "limited",
+                    None => "not_run",
+                };
+                not_run_response(outcome.limit_wait.unwrap_or(QUEUE_DRAIN_TIME), time_left)
             }
             (true, true) => {
                 request_log.reason = "timeout";
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{LeavingState, RankedReplica, ReplicaStats, UpstreamRecord};
-use anvilhub_coord::limit::UpstreamProcess;
+use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
@@ -89,13 +89,14 @@
                 .with(|idle_connections| idle_connections.is_empty())
     }
 
-    /// Returns this upstream as a candidate for an attempt of a sub-request; `was_tried` is true if an earlier
-    /// attempt was sent to it.
+    /// Returns this upstream as a candidate for an attempt of a sub-request. `permit` is whether its limit has room, and
+    /// `was_tried` whether an earlier attempt was sent to it.
     pub(super) fn to_candidate(
         &self,
         now: ClockTime,
         typical_latency: Duration,
         settings: &GatewaySettings,
+        permit: SendPermit,
         was_tried: bool,
     ) -> RankedReplica {
         let (is_leaving, is_usable) = self.leaving_state.with(|state| {
@@ -117,7 +118,8 @@
             is_cooling_down,
             is_leaving,
             is_local: self.record.failure_domain == settings.failure_domain,
-            is_excluded: was_tried || self.is_removed() || !is_usable,
+            is_limited: permit != SendPermit::Unlimited,
+            is_excluded: was_tried || self.is_removed() || !is_usable || permit.is_denied(),
         }
     }
 }
