--- a/crates/anvilhub-coord/src/fleet/feed_log.rs
+++ b/crates/anvilhub-coord/src/fleet/feed_log.rs
@@ -54,6 +54,7 @@
         self.limit_removals();
         Some(FeedUpdate {
             revision: update.revision,
+            era: update.era,
             is_full: false,
             records: changed.into_values().collect(),
         })
@@ -73,6 +74,7 @@
             is_full || !records.is_empty() && after.is_some_and(|after| after < revision);
         has_changes.then_some(FeedUpdate {
             revision,
+            era: None,
             is_full,
             records,
         })
--- a/crates/anvilhub-coord/tests/feed_log.rs
+++ b/crates/anvilhub-coord/tests/feed_log.rs
@@ -15,6 +15,7 @@
 fn update(revision: u64, is_full: bool, records: Vec<FeedRecord>) -> FeedUpdate {
     FeedUpdate {
         revision: PlatformRevision(revision),
+        era: None,
         is_full,
         records,
     }
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -7,7 +7,7 @@
     ContactEstimate, DomainShares, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip,
     MemberInfo, ReaderRule, RelayRule, SettlingRule,
 };
-use anvilhub_coord::ids::{CallRate, Incarnation, InstanceId, PlatformRevision};
+use anvilhub_coord::ids::{CallRate, Incarnation, InstanceId, PlatformEra, PlatformRevision};
 use anvilhub_coord::limit::{
     LimitChange, LimitNote, LimitSharers, LimitTable, SendPermit, StatedLimit, UpstreamProcess,
 };
@@ -327,7 +327,17 @@
     pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> Option<FeedUpdate> {
         let now = self.clock.now();
         let is_unchanged = self.is_feed_current() && update.records.is_empty();
-        let changes = self.feed.with(|feed| feed.log.apply(update));
+        let (revision, era) = (update.revision, update.era);
+        let (known, changes) = self
+            .feed
+            .with(|feed| (feed.log.revision(), feed.log.apply(update)));
+        if changes.is_none() {
+            metrics::counter!("anvilhub_platform_answers_dropped_total").increment(1);
+            warn!(
+                revision:% = revision, era:? = era.map(PlatformEra::get), known:? = known.map(PlatformRevision::get);
+                "an answer of the platform is older than what is known, and is dropped"
+            );
+        }
         self.last_platform_answer_us.store(now.0, Ordering::Release);
         self.set_platform_unreachable(false);
         if !is_unchanged {
