Compare the platform's values by era and revision

Cause: a counter trusted to grow. An update with a lower revision was dropped as old, so nothing that a restored store says was known until its counter had passed the known revision, and what was written below it never. Class: an order taken from numbers that are given out anew. Change: a place in the platform's history is an era and a revision (PlatformPlace). An era begins with all of its values; changes alone of a new era cause a full read; pages of two eras are read again; answers of an earlier era are dropped and are no contact. Followers name their era, and leave a reader of an earlier one. Answers dropped as old are followed by a pause, whatever the reason. At a restore, upstreams that the copy lacks are kept as after an outage, those that left before are not taken back while their records may be those of the copy (DepartedUpstreams), and a process that drains stays draining.

--- a/crates/anvilhub-coord/src/fleet/feed_log.rs
+++ b/crates/anvilhub-coord/src/fleet/feed_log.rs
@@ -1,69 +1,101 @@
 use std::collections::{BTreeMap, HashSet};
 
-use crate::ids::PlatformRevision;
+use crate::ids::{PlatformPlace, PlatformRevision};
 
-use super::{FeedRecord, FeedUpdate};
+use super::{FeedOutcome, FeedRecord, FeedUpdate};
 
 /// Maximum number of removals kept. If there are more, all are dropped, and followers that lag behind get a full
 /// update.
 const MAX_REMOVALS: usize = 4_096;
 
 /// The last change of each value of the platform, from which a reader sends updates to its followers.
+///
+/// Designed for a platform that may be restored from a copy: it then gives out revisions again, for other changes, and
+/// starts a new era. Only the values of the newest era are kept, and an era begins with all of its values.
 #[derive(Clone, Debug, Default)]
 pub struct FeedLog {
     records: BTreeMap<String, FeedRecord>,
-    revision: Option<PlatformRevision>,
+    place: Option<PlatformPlace>,
     /// Revision after which the log contains every removal. Earlier removals were dropped or never seen.
     removals_since: PlatformRevision,
 }
 
 impl FeedLog {
-    /// Returns the revision up to which the log is complete; `None` before the first update.
-    pub fn revision(&self) -> Option<PlatformRevision> {
-        self.revision
+    /// Returns the place up to which the log is complete; `None` before the first update.
+    pub fn place(&self) -> Option<PlatformPlace> {
+        self.place
     }
 
-    /// Applies an update and returns the changes that were not known before; `None` if the update is older than the
-    /// log.
-    pub fn apply(&mut self, update: FeedUpdate) -> Option<FeedUpdate> {
-        if self
-            .revision
-            .is_some_and(|revision| update.revision < revision)
-        {
-            return None;
+    /// Applies an update. An update that names no era is taken to be of the known one.
+    pub fn apply(&mut self, update: FeedUpdate) -> FeedOutcome {
+        let known = self.place;
+        let place = PlatformPlace {
+            era: update.era.unwrap_or_else(|| known.unwrap_or_default().era),
+            revision: update.revision,
+        };
+        if known.is_some_and(|known| place < known) {
+            return FeedOutcome::Outdated;
         }
-        let mut changed = BTreeMap::new();
-        if update.is_full {
-            let removals = self.implied_removals(&update);
-            changed.extend(removals.map(|record| (record.key.clone(), record)));
-            if self.revision.is_none() {
-                self.removals_since = update.revision;
-            }
+        let is_restored = known.is_some_and(|known| known.era < place.era);
+        if is_restored && !update.is_full {
+            return FeedOutcome::NeedsFullRead;
         }
-        for record in update.records {
-            let is_known = self
+        let changed = self.find_changes(&update, is_restored);
+        if is_restored {
+            self.records = update
                 .records
-                .get(&record.key)
-                .is_some_and(|known| known.revision >= record.revision);
-            if !is_known {
-                changed.insert(record.key.clone(), record);
-            }
+                .into_iter()
+                .map(|record| (record.key.clone(), record))
+                .collect();
+        } else {
+            self.records.extend(changed.clone());
+        }
+        if is_restored || known.is_none() {
+            self.removals_since = place.revision;
         }
-        self.records.extend(changed.clone());
-        self.revision = Some(update.revision);
+        self.place = Some(place);
         self.limit_removals();
-        Some(FeedUpdate {
-            revision: update.revision,
-            era: update.era,
-            is_full: false,
-            records: changed.into_values().collect(),
-        })
+        FeedOutcome::Applied {
+            changes: FeedUpdate {
+                revision: place.revision,
+                era: Some(place.era),
+                is_full: false,
+                records: changed.into_values().collect(),
+            },
+            is_restored,
+        }
     }
 
-    /// Returns the changes after a revision, or all values if the log does not go back that far. Returns `None` if
-    /// there are no changes or no update has been applied yet.
-    pub fn changes_since(&self, after: Option<PlatformRevision>) -> Option<FeedUpdate> {
-        let revision = self.revision?;
+    /// Returns the records of an update that differ from the known ones, and a removal for each known value that a full
+    /// update does not name.
+    fn find_changes(&self, update: &FeedUpdate, is_restored: bool) -> BTreeMap<String, FeedRecord> {
+        let is_known = |record: &&FeedRecord| {
+            let known = self.records.get(&record.key);
+            known.is_some_and(|known| match is_restored {
+                true => known == *record,
+                false => known.revision >= record.revision,
+            })
+        };
+        let named = update.records.iter().filter(|record| !is_known(record));
+        let mut changed = BTreeMap::new();
+        if update.is_full {
+            let removals = self.implied_removals(update);
+            changed.extend(removals.map(|record| (record.key.clone(), record)));
+        }
+        changed.extend(named.map(|record| (record.key.clone(), record.clone())));
+        changed
+    }
+
+    /// Returns the changes after a place, or all values if the log does not go back that far. Returns `None` if there
+    /// are no changes, the place is of a newer era, or no update has been applied yet.
+    pub fn changes_since(&self, after: Option<PlatformPlace>) -> Option<FeedUpdate> {
+        let place = self.place?;
+        if after.is_some_and(|after| after.era > place.era) {
+            return None;
+        }
+        let after = after
+            .filter(|after| after.era == place.era)
+            .map(|after| after.revision);
         let is_full = after.is_none_or(|after| after < self.removals_since);
         let is_included = |record: &&FeedRecord| match is_full {
             true => record.value.is_some(),
@@ -71,10 +103,10 @@
         };
         let records: Vec<_> = self.records.values().filter(is_included).cloned().collect();
         let has_changes =
-            is_full || !records.is_empty() && after.is_some_and(|after| after < revision);
+            is_full || !records.is_empty() && after.is_some_and(|after| after < place.revision);
         has_changes.then_some(FeedUpdate {
-            revision,
-            era: None,
+            revision: place.revision,
+            era: Some(place.era),
             is_full,
             records,
         })
@@ -86,7 +118,7 @@
         let removals = self.records.values().filter(|record| !is_present(record));
         if removals.count() > MAX_REMOVALS {
             self.records.retain(|_, record| is_present(record));
-            self.removals_since = self.revision.unwrap_or_default();
+            self.removals_since = self.place.unwrap_or_default().revision;
         }
     }
 
--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer_deadline;
 mod caller_delay;
 mod caller_latency;
+mod departed_upstreams;
 mod gather_cutoff;
 mod gather_rule;
 mod hedge_rule;
@@ -30,6 +31,7 @@
 pub use answer_deadline::AnswerDeadline;
 pub use caller_delay::CallerDelay;
 pub use caller_latency::CallerLatency;
+pub use departed_upstreams::DepartedUpstreams;
 pub use gather_cutoff::{CutoffVerdict, GatherCutoff};
 pub use gather_rule::GatherRule;
 pub use hedge_rule::HedgeRule;
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -11,6 +11,7 @@
 mod connection_ledger;
 mod connection_share;
 mod contact_estimate;
+mod departed_upstreams;
 mod ejection_policy;
 mod feed_log;
 mod fleet_simulation;
--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -2,7 +2,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use anvilhub_coord::fleet::{FeedRole, FeedUpdate, MemberInfo};
+use anvilhub_coord::fleet::{FeedOutcome, FeedRole, FeedUpdate, MemberInfo};
 use anvilhub_coord::ids::PlatformRevision;
 use log::{debug, info};
 use tokio::runtime::Handle;
@@ -80,7 +80,8 @@
 
     /// Reads the platform once: the changes since the last known revision, or all values.
     fn read(&mut self) {
-        let known_revision = self.state.revision().filter(|_| !self.needs_full_read);
+        let known_place = self.state.place().filter(|_| !self.needs_full_read);
+        let known_revision = known_place.map(|place| place.revision);
         let result = match known_revision {
             Some(revision) => self.feed.watch(revision, self.state.settings.watch_wait),
             None => self.feed.read_all(),
@@ -100,12 +101,16 @@
     /// Applies what the platform answered, and pauses after a small batch of changes. `known_revision` is the revision
     /// since which changes were read, `None` if all values were.
     fn apply_read(&mut self, known_revision: Option<PlatformRevision>, update: FeedUpdate) {
-        self.read_backoff.reset();
-        self.needs_full_read = false;
         let record_count = update.records.len();
-        if let Some(changes) = self.state.record_platform_update(update) {
-            self.feed.publish(&changes, &self.gateway);
+        let outcome = self.state.record_platform_update(update);
+        self.needs_full_read = outcome == FeedOutcome::NeedsFullRead;
+        if outcome == FeedOutcome::Outdated {
+            // The next answer may be as old, and each costs a call.
+            thread::sleep(self.read_backoff.next_pause());
+            return;
         }
+        self.read_backoff.reset();
+        self.publish(outcome);
         if known_revision.is_some() && (1..MIN_LARGE_UPDATE_RECORDS).contains(&record_count) {
             thread::sleep(self.state.settings.update_pause);
         }
@@ -128,9 +133,11 @@
         let wants_members = self
             .members_received_at
             .is_none_or(|received_at| received_at.elapsed() >= MEMBERS_INTERVAL);
+        let place = self.state.place();
         let call = FollowCall {
             sender: self.state.own_info(),
-            after: self.state.revision(),
+            after: place.map(|place| place.revision),
+            era: place.map(|place| place.era),
             is_platform_unreachable: self.state.is_platform_unreachable(),
             wants_members,
             wait_ms: settings.follow_wait.as_millis() as u64,
@@ -155,8 +162,24 @@
         if let Some(age) = update.outage_age {
             self.gateway.record_platform_outage(age);
         }
-        if let Some(changes) = update.changes {
-            self.feed.publish(&changes, &self.gateway);
+        if let Some(outcome) = update.outcome {
+            self.publish(outcome);
+        }
+    }
+
+    /// Passes the changes of an update on to the gateway.
+    fn publish(&mut self, outcome: FeedOutcome) {
+        let FeedOutcome::Applied {
+            changes,
+            is_restored,
+        } = outcome
+        else {
+            return;
+        };
+        if is_restored {
+            // Recorded first, since the changes may remove upstreams that the copy does not hold.
+            self.gateway.record_platform_restore();
         }
+        self.feed.publish(&changes, &self.gateway);
     }
 }
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::{
-    ContactEstimate, DomainShares, FeedLog, FeedRole, FeedUpdate, FleetTable, MemberGossip,
-    MemberInfo, ReaderRule, RelayRule, SettlingRule,
+    ContactEstimate, DomainShares, FeedLog, FeedOutcome, FeedRole, FeedUpdate, FleetTable,
+    MemberGossip, MemberInfo, ReaderRule, RelayRule, SettlingRule,
 };
-use anvilhub_coord::ids::{CallRate, Incarnation, InstanceId, PlatformEra, PlatformRevision};
+use anvilhub_coord::ids::{CallRate, Incarnation, InstanceId, PlatformEra, PlatformPlace};
 use anvilhub_coord::limit::{
     LimitChange, LimitNote, LimitSharers, LimitTable, SendPermit, StatedLimit, UpstreamProcess,
 };
@@ -135,7 +135,7 @@
 
     /// Returns whether this instance has the platform's values and considers the platform reachable.
     pub(crate) fn is_feed_current(&self) -> bool {
-        self.revision().is_some() && !self.is_platform_unreachable()
+        self.place().is_some() && !self.is_platform_unreachable()
     }
 
     /// Chooses whether this instance reads the platform or follows another one.
@@ -293,9 +293,10 @@
         })
     }
 
-    /// Returns the revision up to which this instance has all changes; `None` before the first read.
-    pub(crate) fn revision(&self) -> Option<PlatformRevision> {
-        self.feed.with(|feed| feed.log.revision())
+    /// Returns the place in the platform's history up to which this instance has all changes; `None` before the first
+    /// read.
+    pub(crate) fn place(&self) -> Option<PlatformPlace> {
+        self.feed.with(|feed| feed.log.place())
     }
 
     /// Records that this instance failed to read the platform.
@@ -322,28 +323,55 @@
         self.clients.call(address, timeout, ping).await
     }
 
-    /// Records an answer of the platform. Returns the changes that were not known before; `None` if the answer is older
-    /// than the known values.
-    pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> Option<FeedUpdate> {
+    /// Records an answer of the platform, and returns what it changes. An answer that is older than the known values is
+    /// no sign that the platform is reached.
+    pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> FeedOutcome {
         let now = self.clock.now();
         let is_unchanged = self.is_feed_current() && update.records.is_empty();
-        let (revision, era) = (update.revision, update.era);
-        let (known, changes) = self
-            .feed
-            .with(|feed| (feed.log.revision(), feed.log.apply(update)));
-        if changes.is_none() {
-            metrics::counter!("anvilhub_platform_answers_dropped_total").increment(1);
-            warn!(
-                revision:% = revision, era:? = era.map(PlatformEra::get), known:? = known.map(PlatformRevision::get);
-                "an answer of the platform is older than what is known, and is dropped"
-            );
+        let outcome = self.apply_update(update);
+        if outcome != FeedOutcome::Outdated {
+            self.last_platform_answer_us.store(now.0, Ordering::Release);
+            self.set_platform_unreachable(false);
         }
-        self.last_platform_answer_us.store(now.0, Ordering::Release);
-        self.set_platform_unreachable(false);
         if !is_unchanged {
             self.state_changed.notify_waiters();
         }
-        changes
+        outcome
+    }
+
+    /// Applies an update to the log of changes. Logs an update that is dropped, and the beginning of an era.
+    fn apply_update(&self, update: FeedUpdate) -> FeedOutcome {
+        let (revision, era) = (update.revision, update.era);
+        let (known, outcome) = self
+            .feed
+            .with(|feed| (feed.log.place(), feed.log.apply(update)));
+        let known = known.unwrap_or_default();
+        match &outcome {
+            FeedOutcome::Applied { is_restored, .. } => {
+                if *is_restored {
+                    metrics::counter!("anvilhub_platform_restores_total").increment(1);
+                    warn!(
+                        revision:% = revision, era:? = era.map(PlatformEra::get),
+                        known:% = known.revision, known_era:% = known.era;
+                        "the platform was restored from a copy"
+                    );
+                }
+            }
+            FeedOutcome::Outdated => {
+                metrics::counter!("anvilhub_platform_answers_dropped_total").increment(1);
+                warn!(
+                    revision:% = revision, era:? = era.map(PlatformEra::get),
+                    known:% = known.revision, known_era:% = known.era;
+                    "an answer of the platform is older than what is known, and is dropped"
+                );
+            }
+            FeedOutcome::NeedsFullRead => info!(
+                revision:% = revision, era:? = era.map(PlatformEra::get),
+                known:% = known.revision, known_era:% = known.era;
+                "the platform was restored from a copy; reading all values"
+            ),
+        }
+        outcome
     }
 
     /// Records the answer of the reader that this instance follows to a call sent at `sent_at`, and returns what it
@@ -366,7 +394,9 @@
         let age = contact.map(|contact| now.since(contact));
         self.record_limit_notes(&answer.limits);
         let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
-        let is_unreachable = answer.is_platform_unreachable || !is_fresh;
+        let known_era = self.place().map(|place| place.era);
+        let is_behind = answer.era.is_some_and(|era| Some(era) < known_era);
+        let is_unreachable = answer.is_platform_unreachable || !is_fresh || is_behind;
         let last_outage = answer
             .outage_age_ms
             .map(|age| now - Duration::from_millis(age));
@@ -379,11 +409,10 @@
                 table.record_gossip(now, gossip);
             }
         });
-        let changes = self.feed.with(|feed| {
-            feed.last_outage = feed.last_outage.max(last_outage);
-            answer.update.and_then(|update| feed.log.apply(update))
-        });
-        if let Some(contact) = contact {
+        self.feed
+            .with(|feed| feed.last_outage = feed.last_outage.max(last_outage));
+        let outcome = answer.update.map(|update| self.apply_update(update));
+        if let Some(contact) = contact.filter(|_| !is_behind) {
             self.last_platform_answer_us
                 .fetch_max(contact.0, Ordering::AcqRel);
         }
@@ -395,7 +424,7 @@
             last_outage
         };
         ReaderUpdate {
-            changes,
+            outcome,
             outage_age: last_outage.map(|outage| now.since(outage)),
         }
     }
@@ -469,7 +498,8 @@
         self.feed.with(|feed| FollowAnswer {
             sender,
             limits,
-            update: feed.log.changes_since(call.after),
+            update: feed.log.changes_since(call.place(feed.log.place())),
+            era: feed.log.place().map(|place| place.era),
             held_ms: u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX),
             platform_age_ms: age_ms(self.last_platform_answer()),
             is_platform_unreachable: self.is_platform_unreachable(),
@@ -510,8 +540,8 @@
 
 /// What a reader's answer changes at its follower.
 pub(super) struct ReaderUpdate {
-    /// The changes that were not known before; `None` if the answer held no update or an older one.
-    pub(super) changes: Option<FeedUpdate>,
+    /// What the update in the answer changes; `None` if it held none.
+    pub(super) outcome: Option<FeedOutcome>,
     /// Time since the platform was last found unreachable; `None` if it never was.
     pub(super) outage_age: Option<Duration>,
 }
--- a/crates/anvilhubd/src/fleet/follow_answer.rs
+++ b/crates/anvilhubd/src/fleet/follow_answer.rs
@@ -1,4 +1,5 @@
 use anvilhub_coord::fleet::{FeedUpdate, MemberGossip, MemberInfo};
+use anvilhub_coord::ids::PlatformEra;
 use anvilhub_coord::limit::LimitNote;
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +12,9 @@
     /// The changes that the follower does not have; `None` if there are none.
     #[serde(rename = "news")]
     pub(crate) update: Option<FeedUpdate>,
+    /// The era of the reader's values; `None` if it has none or runs an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) era: Option<PlatformEra>,
     /// How long the reader held the call, in milliseconds; 0 from an instance of an earlier version.
     #[serde(default)]
     pub(crate) held_ms: u64,
--- a/crates/anvilhubd/src/fleet/follow_call.rs
+++ b/crates/anvilhubd/src/fleet/follow_call.rs
@@ -1,5 +1,5 @@
 use anvilhub_coord::fleet::MemberInfo;
-use anvilhub_coord::ids::PlatformRevision;
+use anvilhub_coord::ids::{PlatformEra, PlatformPlace, PlatformRevision};
 use anvilhub_coord::limit::LimitNote;
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +12,9 @@
     pub(crate) sender: MemberInfo,
     /// The revision up to which the calling instance has all changes; `None` if it has no values yet.
     pub(crate) after: Option<PlatformRevision>,
+    /// The era of `after`; `None` from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) era: Option<PlatformEra>,
     /// Whether the calling instance considers the platform unreachable.
     #[serde(rename = "is_platform_lost")]
     pub(crate) is_platform_unreachable: bool,
@@ -24,3 +27,15 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) limits: Vec<LimitNote>,
 }
+
+impl FollowCall {
+    /// Returns the place up to which the calling instance has all changes; `None` if it has no values yet. An instance
+    /// that names no era is taken to be in that of `known`, the place of the called instance.
+    pub(crate) fn place(&self, known: Option<PlatformPlace>) -> Option<PlatformPlace> {
+        let known_era = known.unwrap_or_default().era;
+        self.after.map(|revision| PlatformPlace {
+            era: self.era.unwrap_or(known_era),
+            revision,
+        })
+    }
+}
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -128,6 +128,14 @@
             .with(|upstreams| upstreams.record_outage(outage));
     }
 
+    /// Records that the platform was found restored from a copy, before its values are passed on. Upstreams that the copy
+    /// does not hold are kept for a while, and upstreams that left since the copy are not taken back.
+    pub(crate) fn record_platform_restore(&self) {
+        let now = self.clock.now();
+        self.upstreams
+            .with(|upstreams| upstreams.record_restore(now));
+    }
+
     /// Counts a hedge or retry that the retry budget of `service` does not allow, and logs it unless one was logged
     /// less than `BUDGET_LOG_INTERVAL` ago.
     pub(super) fn record_budget_refusal(&self, service: &ServiceName) {
--- a/crates/anvilhubd/src/gateway/upstream_table.rs
+++ b/crates/anvilhubd/src/gateway/upstream_table.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use anvilhub_coord::gateway::{RemovalRule, UpstreamRecord};
+use anvilhub_coord::gateway::{DepartedUpstreams, RemovalRule, UpstreamRecord};
 use anvilhub_coord::ids::UpstreamId;
 use anvilhub_coord::time::ClockTime;
 
@@ -9,6 +9,10 @@
 #[derive(Default)]
 pub(super) struct UpstreamTable {
     rule: RemovalRule,
+    /// The upstreams that have left.
+    departed: DepartedUpstreams,
+    /// Records of upstreams that left before the platform was restored, in the order of the platform's list.
+    doubtful: Vec<UpstreamRecord>,
     upstreams: HashMap<UpstreamId, ListedUpstream>,
 }
 
@@ -25,10 +29,17 @@
         self.rule.record_outage(now);
     }
 
+    /// Records that the platform was found restored from a copy at `now`.
+    pub(super) fn record_restore(&mut self, now: ClockTime) {
+        self.rule.record_outage(now);
+        self.departed.record_restore(now);
+    }
+
     /// Applies `records`, the complete list of the platform. A record of an earlier incarnation than the known one is
-    /// ignored.
+    /// ignored, and so is one of an upstream that left before the platform was restored.
     pub(super) fn apply_list(&mut self, now: ClockTime, records: Vec<UpstreamRecord>) {
         let removal_time = self.rule.removal_time(now);
+        self.doubtful.clear();
         for upstream in self.upstreams.values_mut() {
             upstream.removal_time = Some(upstream.removal_time.unwrap_or(removal_time));
         }
@@ -40,6 +51,19 @@
             if is_older {
                 continue;
             }
+            if self.departed.is_doubtful(now, &record.process()) {
+                self.doubtful.push(record);
+                continue;
+            }
+            let known = self.upstreams.get(&record.id).map(|known| &known.record);
+            let record = match known {
+                // A process that has begun to leave goes on leaving, whatever an older record says.
+                Some(known) if known.is_same_process(&record) => UpstreamRecord {
+                    is_draining: known.is_draining || record.is_draining,
+                    ..record
+                },
+                Some(_) | None => record,
+            };
             let listed = ListedUpstream {
                 record,
                 removal_time: None,
@@ -48,12 +72,34 @@
         }
     }
 
-    /// Drops the upstreams whose removal time has come; returns whether there were any.
+    /// Drops the upstreams whose removal time has come, and takes those back whose records are no longer in doubt;
+    /// returns whether there were any.
     pub(super) fn drop_removed(&mut self, now: ClockTime) -> bool {
-        let before = self.upstreams.len();
-        self.upstreams
-            .retain(|_, upstream| upstream.removal_time.is_none_or(|time| now < time));
-        self.upstreams.len() != before
+        let is_removed =
+            |upstream: &mut ListedUpstream| upstream.removal_time.is_some_and(|time| now >= time);
+        let removed: Vec<_> = self
+            .upstreams
+            .extract_if(|_, upstream| is_removed(upstream))
+            .collect();
+        for (_, upstream) in &removed {
+            self.departed
+                .record_departure(now, upstream.record.process());
+        }
+        let trusted: Vec<_> = self
+            .doubtful
+            .extract_if(.., |record| {
+                !self.departed.is_doubtful(now, &record.process())
+            })
+            .collect();
+        let has_changed = !removed.is_empty() || !trusted.is_empty();
+        for record in trusted {
+            let listed = ListedUpstream {
+                record,
+                removal_time: None,
+            };
+            self.upstreams.insert(listed.record.id.clone(), listed);
+        }
+        has_changed
     }
 
     /// Returns each upstream with whether it is leaving or no longer listed.
