Take back an upstream that was in use again before a restore

An upstream whose record was gone for a while, and that was in use again when the platform was restored, would have been refused as departed for 8 s at the next change of the list. Cause: a departure was remembered after the upstream had come back. Change: a record that is taken into use ends the memory of its departure.

--- a/crates/anvilhub-coord/src/gateway/departed_upstreams.rs
+++ b/crates/anvilhub-coord/src/gateway/departed_upstreams.rs
@@ -32,6 +32,11 @@
             .insert(process.id, (process.incarnation, now));
     }
 
+    /// Records that an upstream is in use again.
+    pub fn record_return(&mut self, id: &UpstreamId) {
+        self.departures.remove(id);
+    }
+
     /// Records that the platform was found restored at `now`.
     pub fn record_restore(&mut self, now: ClockTime) {
         self.restored_at = Some(now);
--- a/crates/anvilhub-coord/tests/departed_upstreams.rs
+++ b/crates/anvilhub-coord/tests/departed_upstreams.rs
@@ -53,3 +53,13 @@
     departed.record_departure(at(7), process(7));
     assert!(!departed.is_doubtful(at(8), &process(7)));
 }
+
+/// An upstream that left and came back before the restore is in use, and its record is not in doubt.
+#[test]
+fn returned_upstream_trusted() {
+    let mut departed = DepartedUpstreams::default();
+    departed.record_departure(at(0), process(7));
+    departed.record_return(&process(7).id);
+    departed.record_restore(at(5));
+    assert!(!departed.is_doubtful(at(6), &process(7)));
+}
--- a/crates/anvilhubd/src/gateway/upstream_table.rs
+++ b/crates/anvilhubd/src/gateway/upstream_table.rs
@@ -64,11 +64,7 @@
                 },
                 Some(_) | None => record,
             };
-            let listed = ListedUpstream {
-                record,
-                removal_time: None,
-            };
-            self.upstreams.insert(listed.record.id.clone(), listed);
+            self.list(record);
         }
     }
 
@@ -93,15 +89,21 @@
             .collect();
         let has_changed = !removed.is_empty() || !trusted.is_empty();
         for record in trusted {
-            let listed = ListedUpstream {
-                record,
-                removal_time: None,
-            };
-            self.upstreams.insert(listed.record.id.clone(), listed);
+            self.list(record);
         }
         has_changed
     }
 
+    /// Takes a record of the platform's list into use.
+    fn list(&mut self, record: UpstreamRecord) {
+        self.departed.record_return(&record.id);
+        let listed = ListedUpstream {
+            record,
+            removal_time: None,
+        };
+        self.upstreams.insert(listed.record.id.clone(), listed);
+    }
+
     /// Returns each upstream with whether it is leaving or no longer listed.
     pub(super) fn records(&self) -> impl Iterator<Item = (&UpstreamRecord, bool)> {
         self.upstreams.values().map(|upstream| {
