Use an upstream that an outage or a restore took off the list until it counts as removed

An upstream that registered after the copy, and is the only one of its shard, was refused after the grace period of a leaving upstream (a quarter of the users' drain time), although its record may be back up to two seconds after the store. Cause: missing and leaving were one state. Class: absence of a record taken for a statement of the upstream. Change: LeavingState keeps missing apart from leaving. A missing upstream is a last resort until its removal time.

--- a/crates/anvilhub-coord/src/gateway/leaving_state.rs
+++ b/crates/anvilhub-coord/src/gateway/leaving_state.rs
@@ -2,13 +2,15 @@
 
 use crate::time::ClockTime;
 
-/// Whether an upstream is leaving, and when this instance learned of it.
+/// Whether an upstream is leaving or missing from the platform's list, and when this instance learned that it leaves.
 ///
-/// A leaving upstream that is the only one of its shard still gets requests during a grace period, in which its
+/// A missing upstream is used only if there is no other one, until its record is back or it counts as removed: after an
+/// outage or a restore of the platform the records of live upstreams are gone for a moment. A leaving upstream that is the only one of its shard still gets requests during a grace period, in which its
 /// replacement arrives. It gets none after that, because it may stop at any moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeavingState {
     leaving_since: Option<ClockTime>,
+    is_missing: bool,
 }
 
 impl LeavingState {
@@ -23,6 +25,16 @@
         has_changed
     }
 
+    /// Sets whether the upstream is missing from the platform's list; returns whether this changed the state.
+    pub fn set_missing(&mut self, is_missing: bool) -> bool {
+        std::mem::replace(&mut self.is_missing, is_missing) != is_missing
+    }
+
+    /// Returns whether the upstream is used only if there is no other one.
+    pub fn is_last_resort(&self) -> bool {
+        self.is_leaving() || self.is_missing
+    }
+
     /// Returns whether the upstream is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
--- a/crates/anvilhub-coord/tests/replica_ranker.rs
+++ b/crates/anvilhub-coord/tests/replica_ranker.rs
@@ -88,3 +88,18 @@
     assert!(rule.allows(&with_queue(0.5)));
     assert!(!rule.allows(&with_queue(1.0)));
 }
+
+/// An upstream whose record is missing after an outage was refused after the grace period of a leaving one, although it
+/// may write its record again later than that.
+#[test]
+fn missing_upstream_usable() {
+    let mut state = LeavingState::default();
+    assert!(state.set_missing(true));
+    assert!(state.is_last_resort());
+    assert!(state.is_usable(ClockTime::default() + 4 * GRACE_PERIOD, GRACE_PERIOD));
+    state.set_leaving(ClockTime::default(), true);
+    assert!(!state.is_usable(ClockTime::default() + 4 * GRACE_PERIOD, GRACE_PERIOD));
+    state.set_leaving(ClockTime::default(), false);
+    assert!(state.set_missing(false));
+    assert!(!state.is_last_resort());
+}
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -231,7 +231,7 @@
             .collect();
         let mut by_service: HashMap<ServiceName, Vec<Arc<TrackedUpstream>>> = HashMap::new();
         self.upstreams.with(|upstreams| {
-            for (record, is_leaving) in upstreams.records() {
+            for (record, is_missing) in upstreams.records() {
                 let known = by_id
                     .get(&record.id)
                     .filter(|upstream| upstream.record.is_same_process(record));
@@ -239,9 +239,10 @@
                     Some(upstream) => Arc::clone(upstream),
                     None => self.track_upstream(record),
                 };
-                if upstream.set_leaving(now, is_leaving) {
+                if upstream.set_leaving(now, record.is_draining, is_missing) {
                     info!(
-                        upstream:% = record.id, service:% = record.service, leaving = is_leaving;
+                        upstream:% = record.id, service:% = record.service, leaving = record.is_draining,
+                        missing = is_missing;
                         "upstream changed"
                     );
                 }
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -40,10 +40,13 @@
         }
     }
 
-    /// Sets whether the upstream announced that it is leaving, or may have been removed; returns whether this changed.
-    pub(super) fn set_leaving(&self, now: ClockTime, is_leaving: bool) -> bool {
-        self.leaving_state
-            .with(|state| state.set_leaving(now, is_leaving))
+    /// Sets whether the upstream announced that it is leaving, and whether it is missing from the platform's list;
+    /// returns whether this changed.
+    pub(super) fn set_leaving(&self, now: ClockTime, is_leaving: bool, is_missing: bool) -> bool {
+        self.leaving_state.with(|state| {
+            let has_changed = state.set_leaving(now, is_leaving);
+            state.set_missing(is_missing) || has_changed
+        })
     }
 
     /// Records that the upstream was removed or that its address belongs to another one: it gets no more requests.
@@ -81,7 +84,8 @@
         let is_busy = self
             .stats
             .with(|stats| stats.in_flight() > 0 || stats.is_cooling_down(now));
-        let is_leaving = self.is_removed() || self.leaving_state.with(|state| state.is_leaving());
+        let is_leaving =
+            self.is_removed() || self.leaving_state.with(|state| state.is_last_resort());
         !is_busy
             && !is_leaving
             && self
@@ -101,7 +105,7 @@
     ) -> RankedReplica {
         let (is_leaving, is_usable) = self.leaving_state.with(|state| {
             let is_usable = state.is_usable(now, settings.leaving_grace_period);
-            (state.is_leaving(), is_usable)
+            (state.is_last_resort(), is_usable)
         });
         let slots = self.record.slots.get();
         let (cost, queue_rounds, is_cooling_down) = self.stats.with(|stats| {
--- a/crates/anvilhubd/src/gateway/upstream_table.rs
+++ b/crates/anvilhubd/src/gateway/upstream_table.rs
@@ -104,11 +104,9 @@
         self.upstreams.insert(listed.record.id.clone(), listed);
     }
 
-    /// Returns each upstream with whether it is leaving or no longer listed.
+    /// Returns each upstream with whether it is missing from the platform's list.
     pub(super) fn records(&self) -> impl Iterator<Item = (&UpstreamRecord, bool)> {
-        self.upstreams.values().map(|upstream| {
-            let is_leaving = upstream.record.is_draining || upstream.removal_time.is_some();
-            (&upstream.record, is_leaving)
-        })
+        let upstreams = self.upstreams.values();
+        upstreams.map(|upstream| (&upstream.record, upstream.removal_time.is_some()))
     }
 }
