--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -141,7 +141,7 @@
             is_platform_unreachable: self.state.is_platform_unreachable(),
             wants_members,
             wait_ms: settings.follow_wait.as_millis() as u64,
-            limits: self.state.collect_limit_notes(),
+            limits: self.state.limits.collect_notes(),
         };
         let call_timeout = settings.follow_wait + settings.call_timeout;
         let sent_at = self.state.now();
--- a/crates/anvilhubd/src/fleet/fleet_server.rs
+++ b/crates/anvilhubd/src/fleet/fleet_server.rs
@@ -38,18 +38,18 @@
         limits: Option<Vec<LimitNote>>,
     ) -> Result<ExchangeAnswer, ErrorObjectOwned> {
         self.state.record_gossip(members);
-        self.state.record_limit_notes(&limits.unwrap_or_default());
+        self.state.limits.record_notes(&limits.unwrap_or_default());
         Ok(ExchangeAnswer {
             members: self.state.collect_gossip(),
             is_feed_current: self.state.is_feed_current(),
-            limits: self.state.collect_limit_notes(),
+            limits: self.state.limits.collect_notes(),
         })
     }
 
     async fn follow(&self, call: FollowCall) -> Result<FollowAnswer, ErrorObjectOwned> {
         let wait = Duration::from_millis(call.wait_ms).min(MAX_FOLLOW_WAIT);
         self.state.record_contact(call.sender.clone());
-        self.state.record_limit_notes(&call.limits);
+        self.state.limits.record_notes(&call.limits);
         Ok(self.state.answer_follower(&call, wait).await)
     }
 
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -4,13 +4,11 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::{
-    ContactEstimate, DomainShares, FeedLog, FeedOutcome, FeedRole, FeedUpdate, FleetTable,
-    MemberGossip, MemberInfo, ReaderRule, RelayRule, SettlingRule,
-};
-use anvilhub_coord::ids::{CallRate, Incarnation, InstanceId, PlatformEra, PlatformPlace};
-use anvilhub_coord::limit::{
-    LimitChange, LimitNote, LimitSharers, LimitTable, SendPermit, StatedLimit, UpstreamProcess,
+    ContactEstimate, DomainShares, FeedOutcome, FeedRole, FeedUpdate, FleetTable, MemberGossip,
+    MemberInfo, ReaderRule, RelayRule, SettlingRule,
 };
+use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformPlace};
+use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
 use jsonrpsee::core::client::Client;
 use log::{info, warn};
@@ -23,10 +21,9 @@
 use crate::peer::{PeerClients, PeerError};
 use crate::routes::LockCell;
 
-use super::{FleetApiClient, FleetSettings, FollowAnswer, FollowCall};
-
-/// How long the list of instances that share limits is used before it is computed again.
-const SHARERS_LIFETIME: Duration = Duration::from_millis(200);
+use super::{
+    FeedState, FleetApiClient, FleetSettings, FollowAnswer, FollowCall, LimitState, ReaderUpdate,
+};
 
 /// What this instance knows about the other members and the platform's values. Shared by the threads and calls that
 /// update it.
@@ -42,23 +39,13 @@
     last_platform_answer_us: AtomicU64,
     is_platform_unreachable: AtomicBool,
     /// The limits that upstreams name.
-    limits: LockCell<LimitTable>,
-    /// The instances that share limits, and when they were computed.
-    limit_sharers: LockCell<Option<(ClockTime, Arc<LimitSharers>)>>,
+    pub(crate) limits: LimitState,
     /// Whether a running instance told this one which members it knows.
     has_joined: AtomicBool,
     /// Wakes the calls of followers that wait for an update.
     state_changed: Notify,
 }
 
-/// The platform's values and their changes, and when the platform was last found unreachable.
-#[derive(Debug, Default)]
-struct FeedState {
-    log: FeedLog,
-    /// When the platform was last found unreachable; `None` if it never was.
-    last_outage: Option<ClockTime>,
-}
-
 impl FleetState {
     pub(crate) fn new(settings: &GatewaySettings, clock: DaemonClock) -> Arc<Self> {
         let fleet = settings.fleet.clone();
@@ -79,8 +66,7 @@
             feed: LockCell::default(),
             last_platform_answer_us: AtomicU64::new(0),
             is_platform_unreachable: AtomicBool::new(false),
-            limits: LockCell::default(),
-            limit_sharers: LockCell::default(),
+            limits: LimitState::new(clock, settings.instance.clone()),
             has_joined: AtomicBool::new(false),
             state_changed: Notify::new(),
         })
@@ -201,96 +187,16 @@
         })
     }
 
-    /// Records the limit that an answer of an upstream states, and logs a change. `has_run` is whether the upstream ran
-    /// the request.
-    pub(crate) fn record_limit(
-        &self,
-        process: &UpstreamProcess,
-        stated: StatedLimit,
-        has_run: bool,
-    ) {
-        let now = self.clock.now();
-        let change = self
-            .limits
-            .with(|limits| limits.record_answer(now, process, stated, has_run));
-        log_limit_change(process, change, "upstream");
-    }
-
-    /// Records the limits that another instance passed on, and logs changes.
-    pub(super) fn record_limit_notes(&self, notes: &[LimitNote]) {
-        let now = self.clock.now();
-        for note in notes {
-            let change = self.limits.with(|limits| limits.record_note(now, note));
-            log_limit_change(&note.upstream, change, "instance");
-        }
-    }
-
-    /// Returns the limits to pass on to another instance.
-    pub(super) fn collect_limit_notes(&self) -> Vec<LimitNote> {
-        let now = self.clock.now();
-        self.limits.with(|limits| limits.notes(now))
-    }
-
-    /// Returns whether a request may be sent to an upstream under the limit that it names.
+    /// Returns whether a request may be sent to an upstream under the limit that it names. An instance that does not know
+    /// the others yet has no share of limits.
     pub(crate) fn send_permit(&self, now: ClockTime, process: &UpstreamProcess) -> SendPermit {
-        self.limits.with(|limits| {
-            limits.permit(now, process, |limit| {
-                let own = &self.table.with(|table| table.own_info().instance.clone());
-                self.limit_sharers(now).share(own, process, limit)
-            })
-        })
-    }
-
-    /// Records an attempt that is sent to an upstream; `is_extra` is whether it is a hedge or a retry.
-    pub(crate) fn record_limited_send(&self, process: &UpstreamProcess, is_extra: bool) {
-        let now = self.clock.now();
         self.limits
-            .with(|limits| limits.record_send(now, process, is_extra));
-    }
-
-    /// Records that an attempt was not sent to the upstream after all.
-    pub(crate) fn record_unsent(&self, process: &UpstreamProcess) {
-        self.limits.with(|limits| limits.record_unsent(process));
-    }
-
-    /// Logs the attempts sent to each upstream with a limit since the last call, and counts them in the metrics.
-    pub(crate) fn report_limited_sends(&self) {
-        let now = self.clock.now();
-        let counts = self.limits.with(|limits| {
-            limits.forget_old(now);
-            limits.take_send_counts()
-        });
-        metrics::gauge!("anvilhub_limited_upstreams").set(counts.len() as f64);
-        for (process, limit, sends) in counts {
-            for (kind, count) in [("first", sends.first), ("extra", sends.extra)] {
-                metrics::counter!("anvilhub_limited_sends_total", "kind" => kind)
-                    .increment(u64::from(count));
-            }
-            info!(
-                upstream:% = process.id, limit_per_s = limit.get(), first = sends.first, extra = sends.extra;
-                "sends to a limited upstream"
-            );
-        }
-    }
-
-    /// Returns the instances that share limits. An instance that does not know the others yet shares none.
-    fn limit_sharers(&self, now: ClockTime) -> Arc<LimitSharers> {
-        self.limit_sharers.with(|known| {
-            if let Some((computed_at, sharers)) = known.as_ref()
-                && now.since(*computed_at) < SHARERS_LIFETIME
-            {
-                return Arc::clone(sharers);
-            }
-            let members = match self.is_settled() {
+            .permit(now, process, || match self.is_settled() {
                 true => self
                     .table
                     .with(|table| table.limit_sharers(now).into_iter().cloned().collect()),
                 false => Vec::new(),
-            };
-            let sharers = Arc::new(LimitSharers::new(members));
-            *known = Some((now, Arc::clone(&sharers)));
-            sharers
-        })
+            })
     }
 
     /// Returns the place in the platform's history up to which this instance has all changes; `None` before the first
@@ -328,7 +234,7 @@
     pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> FeedOutcome {
         let now = self.clock.now();
         let is_unchanged = self.is_feed_current() && update.records.is_empty();
-        let outcome = self.apply_update(update);
+        let outcome = self.feed.with(|feed| feed.apply(update));
         if outcome != FeedOutcome::Outdated {
             self.last_platform_answer_us.store(now.0, Ordering::Release);
             self.set_platform_unreachable(false);
@@ -339,41 +245,6 @@
         outcome
     }
 
-    /// Applies an update to the log of changes. Logs an update that is dropped, and the beginning of an era.
-    fn apply_update(&self, update: FeedUpdate) -> FeedOutcome {
-        let (revision, era) = (update.revision, update.era);
-        let (known, outcome) = self
-            .feed
-            .with(|feed| (feed.log.place(), feed.log.apply(update)));
-        let known = known.unwrap_or_default();
-        match &outcome {
-            FeedOutcome::Applied { is_restored, .. } => {
-                if *is_restored {
-                    metrics::counter!("anvilhub_platform_restores_total").increment(1);
-                    warn!(
-                        revision:% = revision, era:? = era.map(PlatformEra::get),
-                        known:% = known.revision, known_era:% = known.era;
-                        "the platform was restored from a copy"
-                    );
-                }
-            }
-            FeedOutcome::Outdated => {
-                metrics::counter!("anvilhub_platform_answers_dropped_total").increment(1);
-                warn!(
-                    revision:% = revision, era:? = era.map(PlatformEra::get),
-                    known:% = known.revision, known_era:% = known.era;
-                    "an answer of the platform is older than what is known, and is dropped"
-                );
-            }
-            FeedOutcome::NeedsFullRead => info!(
-                revision:% = revision, era:? = era.map(PlatformEra::get),
-                known:% = known.revision, known_era:% = known.era;
-                "the platform was restored from a copy; reading all values"
-            ),
-        }
-        outcome
-    }
-
     /// Records the answer of the reader that this instance follows to a call sent at `sent_at`, and returns what it
     /// changes.
     pub(super) fn record_reader_answer(
@@ -392,7 +263,7 @@
             estimate.earliest_contact()
         });
         let age = contact.map(|contact| now.since(contact));
-        self.record_limit_notes(&answer.limits);
+        self.limits.record_notes(&answer.limits);
         let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
         let known_era = self.place().map(|place| place.era);
         let is_behind = answer.era.is_some_and(|era| Some(era) < known_era);
@@ -409,9 +280,10 @@
                 table.record_gossip(now, gossip);
             }
         });
-        self.feed
-            .with(|feed| feed.last_outage = feed.last_outage.max(last_outage));
-        let outcome = answer.update.map(|update| self.apply_update(update));
+        let outcome = self.feed.with(|feed| {
+            feed.last_outage = feed.last_outage.max(last_outage);
+            answer.update.map(|update| feed.apply(update))
+        });
         if let Some(contact) = contact.filter(|_| !is_behind) {
             self.last_platform_answer_us
                 .fetch_max(contact.0, Ordering::AcqRel);
@@ -494,7 +366,7 @@
             false => Vec::new(),
         };
         let sender = self.own_info();
-        let limits = self.collect_limit_notes();
+        let limits = self.limits.collect_notes();
         self.feed.with(|feed| FollowAnswer {
             sender,
             limits,
@@ -526,22 +398,3 @@
         }
     }
 }
-
-/// Logs a change of the limit of an upstream. `source` is who told this instance.
-fn log_limit_change(process: &UpstreamProcess, change: Option<LimitChange>, source: &'static str) {
-    if let Some(change) = change {
-        info!(
-            upstream:% = process.id, limit_per_s:? = change.limit.map(CallRate::get),
-            before:? = change.before.map(CallRate::get), source;
-            "upstream limit changed"
-        );
-    }
-}
-
-/// What a reader's answer changes at its follower.
-pub(super) struct ReaderUpdate {
-    /// What the update in the answer changes; `None` if it held none.
-    pub(super) outcome: Option<FeedOutcome>,
-    /// Time since the platform was last found unreachable; `None` if it never was.
-    pub(super) outage_age: Option<Duration>,
-}
--- a/crates/anvilhubd/src/fleet/gossip_loop.rs
+++ b/crates/anvilhubd/src/fleet/gossip_loop.rs
@@ -114,7 +114,7 @@
     async fn exchange(&self, address: SocketAddr) -> Result<ExchangeAnswer, PeerError> {
         let call_timeout = self.state.settings.call_timeout;
         let members = self.state.collect_gossip();
-        let limits = Some(self.state.collect_limit_notes());
+        let limits = Some(self.state.limits.collect_notes());
         let answer = self
             .state
             .clients
@@ -123,7 +123,7 @@
             })
             .await?;
         self.state.record_gossip(answer.members.clone());
-        self.state.record_limit_notes(&answer.limits);
+        self.state.limits.record_notes(&answer.limits);
         Ok(answer)
     }
 }
--- a/crates/anvilhubd/src/fleet/mod.rs
+++ b/crates/anvilhubd/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 mod exchange_answer;
 mod feed_error;
+mod feed_state;
 mod feed_thread;
 mod fleet_api;
 mod fleet_server;
@@ -11,7 +12,9 @@
 mod follow_answer;
 mod follow_call;
 mod gossip_loop;
+mod limit_state;
 mod platform_feed;
+mod reader_update;
 
 pub use feed_error::FeedError;
 pub use fleet_settings::FleetSettings;
@@ -23,9 +26,12 @@
 pub(crate) use gossip_loop::GossipLoop;
 
 use exchange_answer::ExchangeAnswer;
+use feed_state::FeedState;
 use fleet_api::{FleetApiClient, FleetApiServer};
 use follow_answer::FollowAnswer;
 use follow_call::FollowCall;
+use limit_state::LimitState;
+use reader_update::ReaderUpdate;
 
 /// Result of reading the platform.
 pub type Result<T, E = FeedError> = std::result::Result<T, E>;
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -275,7 +275,8 @@
         sub_request.tried_upstreams.push(Arc::clone(&upstream));
         self.gateway
             .fleet
-            .record_limited_send(&upstream.process, is_extra);
+            .limits
+            .record_send(&upstream.process, is_extra);
         self.start_attempt(index, upstream);
         true
     }
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -150,7 +150,7 @@
         }
         if limits_reported_at.elapsed() >= LIMIT_REPORT_INTERVAL {
             limits_reported_at = Instant::now();
-            gateway.fleet.report_limited_sends();
+            gateway.fleet.limits.report_sends();
         }
         if !gateway.is_draining() {
             warmer.open_missing();
