Leave the limit of a misdirected answer alone

Found while reading: an address that belongs to another upstream may name that upstream's limit, which was recorded for the one that was asked. The answer's limit is now used only if the answer is that of the upstream.

--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -64,7 +64,10 @@
             AttemptOutcome::FailedAtUpstream(_) => guard.record_failure(FailureKind::Broken),
             AttemptOutcome::NotRun { .. } => guard.record_refusal(),
             AttemptOutcome::NotSent { .. } => {
-                self.gateway.fleet.record_unsent(&self.upstream.process);
+                self.gateway
+                    .fleet
+                    .limits
+                    .record_unsent(&self.upstream.process);
                 guard.record_failure(FailureKind::Unconnected);
             }
             AttemptOutcome::Unknown { kind, .. } => guard.record_failure(*kind),
@@ -194,10 +197,12 @@
                 .stats
                 .with(|stats| stats.record_load(now, load));
         }
-        let has_run = metadata.signature.is_some() && !metadata.is_not_run;
-        self.gateway
-            .fleet
-            .record_limit(&self.upstream.process, metadata.limit, has_run);
+        // The limit in a misdirected answer is that of another upstream.
+        if !metadata.is_misdirected {
+            let has_run = metadata.signature.is_some() && !metadata.is_not_run;
+            let limits = &self.gateway.fleet.limits;
+            limits.record_answer(&self.upstream.process, metadata.limit, has_run);
+        }
         if let Some(timeout) = parse_idle_timeout(&head.headers) {
             self.upstream
                 .idle_connections
