Count only applied answers of the platform as contact

Changes of a new era cannot be applied before a full read, and made the known values of the earlier era look fresh. A page without a readable era counted as one of another history, which would be read again without a pause for as long as the store names no era on some pages; only two different eras do now.

--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -229,13 +229,13 @@
         self.clients.call(address, timeout, ping).await
     }
 
-    /// Records an answer of the platform, and returns what it changes. An answer that is older than the known values is
-    /// no sign that the platform is reached.
+    /// Records an answer of the platform, and returns what it changes. An answer that cannot be applied does not make the
+    /// known values any younger.
     pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> FeedOutcome {
         let now = self.clock.now();
         let is_unchanged = self.is_feed_current() && update.records.is_empty();
         let outcome = self.feed.with(|feed| feed.apply(update));
-        if outcome != FeedOutcome::Outdated {
+        if matches!(outcome, FeedOutcome::Applied { .. }) {
             self.last_platform_answer_us.store(now.0, Ordering::Release);
             self.set_platform_unreachable(false);
         }
