--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -82,7 +82,7 @@
         let choices: Vec<Option<UpstreamChoice>> = (0..self.sub_requests.len())
             .map(|index| self.choose_upstream(index, now))
             .collect();
-        if choices.iter().flatten().count() < self.plan.cutoff.min_sub_requests {
+        if count_sendable(&choices) < self.plan.cutoff.min_sub_requests {
             return self.refuse(&choices, now);
         }
         let skipped = self.choose_skipped(&choices);
@@ -129,7 +129,7 @@
     /// Ends a request that cannot be answered, since too few of its services have an upstream that may get it now.
     /// Nothing has been sent.
     fn refuse(mut self, choices: &[Option<UpstreamChoice>], now: ClockTime) -> FanoutOutcome {
-        let missing_count = self.plan.cutoff.min_sub_requests - choices.iter().flatten().count();
+        let missing_count = self.plan.cutoff.min_sub_requests - count_sendable(choices);
         let mut waits = Vec::new();
         for (sub_request, choice) in self.sub_requests.iter_mut().zip(choices) {
             let group = sub_request.group.as_ref().filter(|_| choice.is_none());
@@ -162,11 +162,7 @@
         let cutoff = &self.plan.cutoff;
         let rule = SkipRule {
             max_expected_time: cutoff.target_cutoff * SKIP_FACTOR,
-            max_skips: choices
-                .iter()
-                .flatten()
-                .count()
-                .saturating_sub(cutoff.min_sub_requests),
+            max_skips: count_sendable(choices).saturating_sub(cutoff.min_sub_requests),
         };
         if rule.max_skips == 0 || rule.max_expected_time.is_zero() {
             return Vec::new();
@@ -399,3 +395,8 @@
         }
     }
 }
+
+/// Returns the number of sub-requests for which an upstream was chosen.
+fn count_sendable(choices: &[Option<UpstreamChoice>]) -> usize {
+    choices.iter().flatten().count()
+}
