--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod deployment;
+mod foreign_entry;
 mod foreign_keys;
 mod http;
 mod instance;
@@ -28,6 +29,7 @@
     }));
     let ended = std::panic::catch_unwind(|| match case.as_str() {
         "foreign-keys" => foreign_keys::run(&record),
+        "foreign-entry" => foreign_entry::run(&record),
         "drain" => slow_queue::run(Variant::Drain, &record),
         "give-up" => slow_queue::run(Variant::GiveUp, &record),
         other => {
