Review case 2: instances ask cut-off readers in a circle and keep an old configuration

Seen: machines that nothing happened to handle requests by the old configuration until the cut ends.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
   echo "build first: the command of deploy/system.toml, then review/build.sh" >&2
   exit 2
 fi
-exec "$rig" give-up review/2/record.txt
+exec "$rig" cut-readers review/2/record.txt
--- a/review/rig/src/deployment.rs
+++ b/review/rig/src/deployment.rs
@@ -84,22 +84,34 @@
         replica
     }
 
-    /// Starts instances and waits until all are ready.
+    /// Starts `count` instances of equal size and waits until all are ready.
     pub fn instances(&self, count: usize, zones: &[&str], bounds: Bounds) -> Vec<Instance> {
-        let mut instances =
-            Instance::plan(&self.folder, count, zones, bounds, |_| self.store.listen());
-        for instance in &mut instances {
+        let mut instances = Instance::plan(
+            &self.folder,
+            count,
+            zones,
+            bounds,
+            |_| 0.25,
+            |_| self.store.listen(),
+        );
+        self.start(&mut instances);
+        instances
+    }
+
+    /// Starts instances and waits until all are ready.
+    pub fn start(&self, instances: &mut [Instance]) {
+        for instance in &mut *instances {
             instance.start(&self.root);
         }
-        for instance in &instances {
+        for instance in &*instances {
             assert!(
                 instance.wait_ready(Duration::from_secs(10)),
                 "{} did not become ready",
                 instance.name
             );
         }
-        self.record.say(format!("{count} instances are ready"));
-        instances
+        self.record
+            .say(format!("{} instances are ready", instances.len()));
     }
 
     /// Waits until `time` of the run.
--- a/review/rig/src/instance.rs
+++ b/review/rig/src/instance.rs
@@ -27,13 +27,14 @@
 }
 
 impl Instance {
-    /// Chooses addresses for `count` instances in `zones` and writes their settings; `store` returns the address of the
-    /// store for an instance.
+    /// Chooses addresses for `count` instances in `zones` and writes their settings; `core_share` returns the size
+    /// of an instance, and `store` the address of the store for it.
     pub fn plan(
         folder: &Path,
         count: usize,
         zones: &[&str],
         bounds: Bounds,
+        core_share: impl Fn(usize) -> f64,
         mut store: impl FnMut(usize) -> SocketAddr,
     ) -> Vec<Self> {
         let ports: Vec<[SocketAddr; 5]> = free_addresses(count);
@@ -51,12 +52,13 @@
                 let text = format!(
                     "{{\"instance\":\"{name}\",\"failure_domain\":\"{zone}\",\"address\":\"127.0.0.1\",\
                      \"caller_address\":\"{front}\",\"ready_address\":\"{ready}\",\"metrics_port\":{},\
-                     \"peer_address\":\"{control}\",\"relay_port\":{},\"seeds\":[{}],\"core_share\":0.25,\
+                     \"peer_address\":\"{control}\",\"relay_port\":{},\"seeds\":[{}],\"core_share\":{},\
                      \"worker_threads\":1,\"descriptor_limit\":4100,\"platform_address\":\"{}\",\
                      \"config_apply_ms\":{},\"upstream_drain_ms\":{},\"extra_load\":0.2,\"extra_window_s\":10}}",
                     metrics.port(),
                     relay.port(),
                     seeds.join(","),
+                    core_share(index),
                     store(index),
                     bounds.config_apply_ms,
                     bounds.drain_ms
@@ -137,13 +139,22 @@
     }
 }
 
+/// Returns free addresses for `count` instances. Their ports lie below those that the system gives to outgoing connections,
+/// which would otherwise take them between two starts of a process.
 fn free_addresses(count: usize) -> Vec<[SocketAddr; 5]> {
-    let listeners: Vec<TcpListener> = (0..count * 5)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"))
-        .collect();
-    let addresses: Vec<SocketAddr> = listeners
-        .iter()
-        .map(|listener| listener.local_addr().expect("the listener is bound"))
-        .collect();
-    addresses.as_chunks::<5>().0.to_vec()
+    const FIRST_PORT: u32 = 12_000;
+    const PORT_COUNT: u32 = 20_000;
+    let mut offset = std::process::id().wrapping_mul(131) % PORT_COUNT;
+    let mut next_address = || {
+        loop {
+            offset = (offset + 1) % PORT_COUNT;
+            let address = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + offset) as u16));
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    };
+    (0..count)
+        .map(|_| std::array::from_fn(|_| next_address()))
+        .collect()
 }
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -2,6 +2,7 @@
 //! broken, 2 the case could not run.
 
 mod client;
+mod cut_readers;
 mod deployment;
 mod foreign_entry;
 mod foreign_keys;
@@ -30,6 +31,7 @@
     let ended = std::panic::catch_unwind(|| match case.as_str() {
         "foreign-keys" => foreign_keys::run(&record),
         "foreign-entry" => foreign_entry::run(&record),
+        "cut-readers" => cut_readers::run(&record),
         "drain" => slow_queue::run(Variant::Drain, &record),
         "give-up" => slow_queue::run(Variant::GiveUp, &record),
         other => {
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,6 +21,22 @@
 #[derive(Clone, Default)]
 pub struct Store(Arc<Shared>);
 
+/// The way between a machine and the store. While it is cut, nothing passes and nothing is reset.
+#[derive(Clone, Default)]
+pub struct Link(Arc<AtomicBool>);
+
+impl Link {
+    pub fn set_cut(&self, is_cut: bool) {
+        self.0.store(is_cut, Ordering::SeqCst);
+    }
+
+    fn wait(&self) {
+        while self.0.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
 #[derive(Default)]
 struct Shared {
     state: Mutex<State>,
@@ -39,13 +56,18 @@
 impl Store {
     /// Opens an address at which the store answers.
     pub fn listen(&self) -> SocketAddr {
+        self.listen_behind(&Link::default())
+    }
+
+    /// Opens an address at which the store answers as long as `link` is not cut.
+    pub fn listen_behind(&self, link: &Link) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
-        let shared = Arc::clone(&self.0);
+        let (shared, link) = (Arc::clone(&self.0), link.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || serve(stream, &shared));
+                let (shared, link) = (Arc::clone(&shared), link.clone());
+                thread::spawn(move || serve(stream, &shared, &link));
             }
         });
         address
@@ -70,16 +92,18 @@
     }
 }
 
-fn serve(stream: TcpStream, shared: &Shared) {
+fn serve(stream: TcpStream, shared: &Shared, link: &Link) {
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
     let mut reader = BufReader::new(stream);
     while let Ok(Some(request)) = Message::read(&mut reader) {
+        link.wait();
         thread::sleep(ANSWER_TIME);
         let (status, body) = answer(request.target(), shared);
         let headers = [("content-type", "application/json".to_owned())];
+        link.wait();
         if writer
             .write_all(&response(status, &headers, body.as_bytes()))
             .is_err()
