Log the age of the platform's values with each change of the feed role

The log named the instance that is followed, not how old the values were and whether the platform counted as reached, so that these could not be told apart: a false age, a circle of readers that are cut off, a read that fails, and values that arrive and are not adopted.

Change: both lines of the role say `platform_age_ms` and `platform_reached`, and `anvilhub_follow_calls_total` counts calls to readers as current, stale or failed. No decision changes.

An instance that is not cut off reads the store once, 3 s after the cut, and at the next call takes the word of a reader that is cut off over its own read of 1 ms before (`dependency regained`, then `dependency lost`). From then on it asks three cut-off readers in turn, half a second each, while the age grows to 7.5 s. So the age is true, the read succeeds, and what fails is the choice of the reader.

--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -153,12 +153,20 @@
                 });
         let answer = match self.runtime.block_on(pending_answer) {
             Ok(answer) => answer,
-            Err(error) => return self.state.mark_suspect(&reader.instance, &error),
+            Err(error) => {
+                count_follow_call("failed");
+                return self.state.mark_suspect(&reader.instance, &error);
+            }
         };
         if wants_members {
             self.members_received_at = Some(Instant::now());
         }
         let update = self.state.record_reader_answer(sent_at, answer);
+        count_follow_call(if update.is_current {
+            "current"
+        } else {
+            "stale"
+        });
         if let Some(age) = update.outage_age {
             self.gateway.record_platform_outage(age);
         }
@@ -183,3 +191,8 @@
         self.feed.publish(&changes, &self.gateway);
     }
 }
+
+/// Counts a call to a reader by how it ended.
+fn count_follow_call(outcome: &'static str) {
+    metrics::counter!("anvilhub_follow_calls_total", "outcome" => outcome).increment(1);
+}
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -296,6 +296,7 @@
             last_outage
         };
         ReaderUpdate {
+            is_current: !is_unreachable,
             outcome,
             outage_age: last_outage.map(|outage| now.since(outage)),
         }
@@ -387,14 +388,20 @@
         metrics::gauge!("anvilhub_known_peers").set(peer_count as f64);
         let is_reader = f64::from(u8::from(*role == FeedRole::Reader));
         metrics::gauge!("anvilhub_reads_platform").set(is_reader);
+        let platform_age_ms = self.platform_age().as_millis() as u64;
+        let platform_reached = !self.is_platform_unreachable();
         match (previous, role) {
             (Some(FeedRole::Reader), FeedRole::Reader) => {}
-            (_, FeedRole::Reader) => info!("this instance reads the platform"),
+            (_, FeedRole::Reader) => info!(
+                platform_age_ms, platform_reached;
+                "this instance reads the platform"
+            ),
             (Some(FeedRole::Follower(known)), FeedRole::Follower(reader))
                 if known.instance == reader.instance => {}
-            (_, FeedRole::Follower(reader)) => {
-                info!(peer:% = reader.instance; "this instance follows a reader of the platform");
-            }
+            (_, FeedRole::Follower(reader)) => info!(
+                peer:% = reader.instance, platform_age_ms, platform_reached;
+                "this instance follows a reader of the platform"
+            ),
         }
     }
 }
