Read the platform when no reader has confirmed the values in time

Cause: an instance read the platform itself only if all readers that it considers were known to be cut off at the same moment. Asking one takes up to 0.5 s and counts for 1 s, so with three or more they are asked in a circle without end. Besides, the word of a reader that is cut off outweighed the instance's own read of a moment before.

Change: OwnReadRule. Values that are unconfirmed for 0.6 of config_apply_ms make an instance read the platform, whatever others say and however many they are; a call to a reader ends when this is due; a failed read is repeated after a pause. An own successful read outweighs others' word for as long. A platform that is not known to answer is asked without a wait.

Why it works: the bound depends only on the age of the instance's own values, which others cannot lower, and one call to a reader is the longest that can delay it.

--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -28,6 +28,7 @@
 mod member_table;
 mod message_fuzz;
 mod overflow_policy;
+mod own_read_rule;
 mod owner_health;
 mod pause_detection;
 mod platform_confirmation;
--- a/crates/anvilhubd/src/fleet/feed_state.rs
+++ b/crates/anvilhubd/src/fleet/feed_state.rs
@@ -9,6 +9,10 @@
     pub(super) log: FeedLog,
     /// When the platform was last found unreachable; `None` if it never was.
     pub(super) last_outage: Option<ClockTime>,
+    /// When this instance last read the platform itself; `None` if it never did, or if its last read failed.
+    pub(super) last_own_read: Option<ClockTime>,
+    /// End of the pause after a failed read of this instance; `None` if its last read succeeded.
+    pub(super) own_read_not_before: Option<ClockTime>,
 }
 
 impl FeedState {
--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -68,7 +68,10 @@
             false => self.read(),
         }
         loop {
-            let role = self.state.choose_role();
+            let role = match self.state.is_own_read_due() {
+                true => FeedRole::Reader,
+                false => self.state.choose_role(),
+            };
             self.state.record_role(self.role.as_ref(), &role);
             self.role = Some(role.clone());
             match role {
@@ -78,12 +81,18 @@
         }
     }
 
-    /// Reads the platform once: the changes since the last known revision, or all values.
+    /// Reads the platform once: the changes since the last known revision, or all values. Waits for changes only while the
+    /// platform is known to answer.
     fn read(&mut self) {
         let known_place = self.state.place().filter(|_| !self.needs_full_read);
         let known_revision = known_place.map(|place| place.revision);
+        // An answer without a wait tells soonest whether the platform can be reached.
+        let wait = match self.state.is_platform_confirmed() {
+            true => self.state.settings.watch_wait,
+            false => Duration::ZERO,
+        };
         let result = match known_revision {
-            Some(revision) => self.feed.watch(revision, self.state.settings.watch_wait),
+            Some(revision) => self.feed.watch(revision, wait),
             None => self.feed.read_all(),
         };
         match result {
@@ -133,6 +142,7 @@
         let wants_members = self
             .members_received_at
             .is_none_or(|received_at| received_at.elapsed() >= MEMBERS_INTERVAL);
+        let wait = settings.follow_wait.min(self.state.time_until_own_read());
         let place = self.state.place();
         let call = FollowCall {
             sender: self.state.own_info(),
@@ -140,10 +150,10 @@
             era: place.map(|place| place.era),
             is_platform_unreachable: self.state.is_platform_unreachable(),
             wants_members,
-            wait_ms: settings.follow_wait.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
             limits: self.state.limits.collect_notes(),
         };
-        let call_timeout = settings.follow_wait + settings.call_timeout;
+        let call_timeout = wait + settings.call_timeout;
         let sent_at = self.state.now();
         let pending_answer =
             self.state
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -5,7 +5,7 @@
 
 use anvilhub_coord::fleet::{
     ContactEstimate, DomainShares, FeedOutcome, FeedRole, FeedUpdate, FleetTable, MemberGossip,
-    MemberInfo, ReaderRule, RelayRule, SettlingRule,
+    MemberInfo, OwnReadRule, ReaderRule, RelayRule, SettlingRule,
 };
 use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformPlace};
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
@@ -132,6 +132,39 @@
             .with(|table| ReaderRule::default().choose_role(table, now, random))
     }
 
+    /// Returns whether this instance reads the platform itself now, whichever instance it would follow.
+    pub(super) fn is_own_read_due(&self) -> bool {
+        self.time_until_own_read().is_zero()
+    }
+
+    /// Returns the time until this instance reads the platform itself unless a reader confirms its values before.
+    pub(super) fn time_until_own_read(&self) -> Duration {
+        let not_before = self.feed.with(|feed| feed.own_read_not_before);
+        self.own_read_rule().time_until_due(
+            self.clock.now(),
+            self.last_platform_answer(),
+            not_before,
+        )
+    }
+
+    /// Returns whether the platform has answered recently, as far as this instance can prove it.
+    pub(super) fn is_platform_confirmed(&self) -> bool {
+        !self.is_platform_unreachable() && self.platform_age() < self.settings.stale_after
+    }
+
+    fn own_read_rule(&self) -> OwnReadRule {
+        OwnReadRule {
+            max_unconfirmed: self.settings.stale_after,
+        }
+    }
+
+    /// Returns the end of the pause that follows a failed read. It varies, so that instances that lost the platform
+    /// together do not read at the same time.
+    fn next_own_read(&self, now: ClockTime) -> ClockTime {
+        let pause = self.settings.max_read_backoff;
+        now + pause.mul_f64(rand::rng().random_range(0.5..=1.0))
+    }
+
     /// Chooses a reader of another failure domain to exchange member information with; `None` if none is known.
     pub(crate) fn choose_remote_reader(&self) -> Option<MemberInfo> {
         let now = self.clock.now();
@@ -210,7 +243,11 @@
         let now = self.clock.now();
         self.table
             .with(|table| table.mark_own_platform_unreachable(now));
-        self.feed.with(|feed| feed.last_outage = Some(now));
+        self.feed.with(|feed| {
+            feed.last_outage = Some(now);
+            feed.last_own_read = None;
+            feed.own_read_not_before = Some(self.next_own_read(now));
+        });
         self.set_platform_unreachable(true);
         self.state_changed.notify_waiters();
     }
@@ -234,7 +271,18 @@
     pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> FeedOutcome {
         let now = self.clock.now();
         let is_unchanged = self.is_feed_current() && update.records.is_empty();
-        let outcome = self.feed.with(|feed| feed.apply(update));
+        let outcome = self.feed.with(|feed| {
+            let outcome = feed.apply(update);
+            match outcome {
+                FeedOutcome::Applied { .. } => {
+                    feed.last_own_read = Some(now);
+                    feed.own_read_not_before = None;
+                }
+                FeedOutcome::Outdated => feed.own_read_not_before = Some(self.next_own_read(now)),
+                FeedOutcome::NeedsFullRead => {}
+            }
+            outcome
+        });
         if matches!(outcome, FeedOutcome::Applied { .. }) {
             self.last_platform_answer_us.store(now.0, Ordering::Release);
             self.set_platform_unreachable(false);
@@ -267,12 +315,17 @@
         let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
         let known_era = self.place().map(|place| place.era);
         let is_behind = answer.era.is_some_and(|era| Some(era) < known_era);
-        let is_unreachable = answer.is_platform_unreachable || !is_fresh || is_behind;
+        let is_reader_current = !answer.is_platform_unreachable && is_fresh && !is_behind;
+        let last_own_read = self.feed.with(|feed| feed.last_own_read);
+        // A reader that cannot reach a platform that this instance has just read is cut off from it.
+        let is_cut_off =
+            !is_reader_current && self.own_read_rule().outweighs_others(now, last_own_read);
         let last_outage = answer
             .outage_age_ms
+            .filter(|_| !is_cut_off)
             .map(|age| now - Duration::from_millis(age));
         self.table.with(|table| {
-            if is_unreachable {
+            if !is_reader_current {
                 table.mark_platform_unreachable(now, &answer.sender.instance);
             }
             table.record_contact(now, answer.sender);
@@ -288,6 +341,7 @@
             self.last_platform_answer_us
                 .fetch_max(contact.0, Ordering::AcqRel);
         }
+        let is_unreachable = !is_reader_current && !is_cut_off;
         self.set_platform_unreachable(is_unreachable);
         self.state_changed.notify_waiters();
         let last_outage = if is_unreachable {
@@ -296,7 +350,7 @@
             last_outage
         };
         ReaderUpdate {
-            is_current: !is_unreachable,
+            is_current: is_reader_current,
             outcome,
             outage_age: last_outage.map(|outage| now.since(outage)),
         }
