Log callers that leave, and requests that are sent after a long wait

The log said nothing of a request whose caller leaves, and not when its attempt was sent, so that these could not be told apart: the close is not noticed, the request waits for a connection, connecting takes long, or it was sent in time and the replica reads it late.

Change: `caller left` with the time since the arrival, counted in `anvilhub_callers_left_total`, and `request sent after a long wait` (from 0.5 s) with the time in the queue for a connection and that for connecting. No decision changes.

--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::header::{self, HeaderMap};
 use hyper::http::response::Parts;
+use log::info;
 use tokio::time::timeout;
 
 use crate::pool::{PoolError, UpstreamConnection};
@@ -25,6 +26,9 @@
 /// Minimum time until the deadline for a request to be sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(2);
 
+/// Time from choosing an upstream to sending the request to it, from which this is logged.
+const LONG_WAIT: Duration = Duration::from_millis(500);
+
 /// Sends a request to one upstream and reads its answer: one attempt.
 pub(super) struct AttemptRun {
     pub(super) gateway: Arc<Gateway>,
@@ -83,6 +87,7 @@
             return not_sent("every connection of this instance's share is in use");
         };
         let _permit = permit.expect("the semaphore stays open");
+        let permitted_at = self.gateway.clock.now();
         let ReadyConnection {
             mut connection,
             checked_at,
@@ -102,6 +107,7 @@
             };
             self.gateway.codec.write_request(headers, &metadata);
         });
+        self.log_long_wait(permitted_at.since(started_at), now.since(permitted_at));
         let is_reused = connection.is_used();
         let limit = self.gateway.settings.max_answer_size;
         let answer = timeout(time_left, connection.send(request, limit, || {})).await;
@@ -135,6 +141,20 @@
         }
     }
 
+    /// Logs that the request is sent long after its upstream was chosen. `queued` is how long it waited for one of this
+    /// instance's connections, and `connecting` for that connection to be open.
+    fn log_long_wait(&self, queued: Duration, connecting: Duration) {
+        if queued + connecting < LONG_WAIT {
+            return;
+        }
+        let request_id = String::from_utf8_lossy(self.request.id.as_bytes());
+        info!(
+            request:% = request_id, upstream:% = self.upstream.record.id, queued_ms = queued.as_millis() as u64,
+            connecting_ms = connecting.as_millis() as u64;
+            "request sent after a long wait"
+        );
+    }
+
     /// Returns an idle connection that is still open, or a new one.
     ///
     /// # Errors
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -20,8 +20,8 @@
 use super::forwarded_request::remove_hop_by_hop_headers;
 use super::relay_handler::decline_relay;
 use super::{
-    FanoutOutcome, FanoutPlan, FanoutRun, ForwardedRequest, Gateway, RelayHeaders, RelayOutcome,
-    RelayRun, RequestLog, RequestMetadata, ServingTable,
+    CallerWatch, FanoutOutcome, FanoutPlan, FanoutRun, ForwardedRequest, Gateway, RelayHeaders,
+    RelayOutcome, RelayRun, RequestLog, RequestMetadata, ServingTable,
 };
 
 /// Maximum time for which a request waits for the first configuration after a start. Two reads of the platform's store
@@ -68,6 +68,12 @@
     ) -> Response<Full<Bytes>> {
         let waited = relay_headers.map_or(Duration::ZERO, |headers| headers.waited);
         let arrived_at = self.gateway.clock.now() - waited;
+        let request_id = self
+            .gateway
+            .codec
+            .read_request(request.headers())
+            .request_id;
+        let watch = CallerWatch::new(self.gateway.clock, arrived_at, request_id);
         let HandledRequest {
             mut response,
             request_log,
@@ -76,6 +82,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
+        watch.record_answer();
         request_log.write(
             response.status(),
             self.gateway.clock.now().since(arrived_at),
