Ask at the moment of sending whether the request still runs

Cause: an attempt was allowed to go when its upstream was chosen. Attempts of requests that must not repeat are never aborted, also while they wait for a connection and have sent nothing. Ruled out by the log: closes that are not noticed, slow connecting, and replicas that read late (docs/incidents/sent-after-caller-left.md).

Change: SendGate. The run closes the gates of its attempts when it ends; an attempt passes its gate when it sends, and stops waiting when the gate closes. An attempt that has sent its request goes on as before.

Why it works: passing and closing take the same lock, so that after a close either the request was sent before, or it never is.

--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -23,6 +23,8 @@
     NotRun { status: StatusCode },
     /// The request was not sent, for this reason.
     NotSent { reason: String },
+    /// The request was not sent, because the run that it belongs to has ended.
+    Withdrawn,
     /// The request was sent and may have run: there is no usable answer, for this reason.
     Unknown { kind: FailureKind, reason: String },
 }
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -13,7 +13,7 @@
 use crate::pool::{PoolError, UpstreamConnection};
 
 use super::{
-    AttemptGuard, AttemptOutcome, ForwardedRequest, Gateway, RouteState, SendMetadata,
+    AttemptGuard, AttemptOutcome, ForwardedRequest, Gateway, RouteState, SendGate, SendMetadata,
     TrackedUpstream, UpstreamAnswer,
 };
 
@@ -40,6 +40,8 @@
     pub(super) typical_latency: Duration,
     /// Time by which the answer must have been received.
     pub(super) deadline: ClockTime,
+    /// Whether the request may still be sent.
+    pub(super) gate: Arc<SendGate>,
 }
 
 /// A connection on which a request can be sent.
@@ -74,6 +76,13 @@
                     .record_unsent(&self.upstream.process);
                 guard.record_failure(FailureKind::Unconnected);
             }
+            AttemptOutcome::Withdrawn => {
+                self.gateway
+                    .fleet
+                    .limits
+                    .record_unsent(&self.upstream.process);
+                drop(guard);
+            }
             AttemptOutcome::Unknown { kind, .. } => guard.record_failure(*kind),
         }
         outcome
@@ -82,8 +91,13 @@
     /// Sends the request and reads the answer, at the latest until the deadline.
     async fn exchange(&self, started_at: ClockTime) -> AttemptOutcome {
         let time_left = self.deadline.since(started_at);
-        let Ok(permit) = timeout(time_left, self.upstream.connection_permits.acquire()).await
-        else {
+        let queued = timeout(time_left, self.upstream.connection_permits.acquire());
+        let permit = tokio::select! {
+            biased;
+            () = self.gate.wait_closed() => return AttemptOutcome::Withdrawn,
+            permit = queued => permit,
+        };
+        let Ok(permit) = permit else {
             return not_sent("every connection of this instance's share is in use");
         };
         let _permit = permit.expect("the semaphore stays open");
@@ -107,6 +121,12 @@
             };
             self.gateway.codec.write_request(headers, &metadata);
         });
+        if !self.gate.pass() {
+            self.upstream
+                .idle_connections
+                .with(|idle_connections| idle_connections.put(now, checked_at, connection));
+            return AttemptOutcome::Withdrawn;
+        }
         self.log_long_wait(permitted_at.since(started_at), now.since(permitted_at));
         let is_reused = connection.is_used();
         let limit = self.gateway.settings.max_answer_size;
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -12,7 +12,7 @@
 
 use super::{
     AttemptOutcome, AttemptRun, FanoutOutcome, FanoutPlan, ForwardedRequest, Gateway, RouteState,
-    RunGuard, SendCause, SubRequest, SubRequestOutcome, TrackedUpstream, UpstreamAnswer,
+    RunGuard, SendCause, SendGate, SubRequest, SubRequestOutcome, TrackedUpstream, UpstreamAnswer,
 };
 
 /// Factor by which the expected latency of a sub-request must exceed the time until the cutoff for it to be skipped. It
@@ -302,7 +302,9 @@
 
     /// Starts an attempt in the background; its outcome arrives at `outcome_receiver`.
     fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>) {
+        let gate = Arc::new(SendGate::default());
         let attempt = AttemptRun {
+            gate: Arc::clone(&gate),
             gateway: Arc::clone(&self.gateway),
             upstream,
             request: Arc::clone(&self.request),
@@ -317,7 +319,7 @@
             // Sending fails if the request has already ended and the receiver was dropped.
             let _ = outcome_sender.send((index, outcome));
         });
-        self.guard.add(&task);
+        self.guard.add(&task, gate);
     }
 
     /// Records how an attempt ended, and sends the sub-request to another upstream if repeating it is allowed and an
@@ -350,6 +352,10 @@
                 sub_request.outcome = SubRequestOutcome::Ended(reason);
                 (true, SendCause::Resend)
             }
+            AttemptOutcome::Withdrawn => {
+                sub_request.send_count -= 1;
+                (false, SendCause::Resend)
+            }
             AttemptOutcome::Unknown { reason, .. } => {
                 self.may_have_run = true;
                 sub_request.outcome = SubRequestOutcome::Ended(reason);
--- a/crates/anvilhubd/src/gateway/run_guard.rs
+++ b/crates/anvilhubd/src/gateway/run_guard.rs
@@ -1,20 +1,28 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::runtime::Handle;
 use tokio::task::{AbortHandle, JoinHandle};
 
-/// Aborts the remaining attempts of a request when the request has ended and the guard is dropped.
+use super::SendGate;
+
+/// Ends the remaining attempts of a request when the request has ended and the guard is dropped.
 ///
-/// The attempts may continue for a grace period, since the connection of an attempt that is aborted cannot be reused
-/// and opening another one is expensive.
+/// Attempts that have not sent the request end at once and never send it. The others may continue for a grace period,
+/// since the connection of an attempt that is aborted cannot be reused and opening another one is expensive.
 pub(super) struct RunGuard {
-    attempts: Vec<AbortHandle>,
+    attempts: Vec<GuardedAttempt>,
     grace_period: Option<Duration>,
 }
 
+struct GuardedAttempt {
+    task: AbortHandle,
+    gate: Arc<SendGate>,
+}
+
 impl RunGuard {
-    /// Creates a guard that aborts its attempts `grace_period` after it is dropped; they are never aborted if it is
-    /// `None`.
+    /// Creates a guard that aborts the attempts that have sent the request `grace_period` after it is dropped; they are
+    /// never aborted if it is `None`.
     pub(super) fn new(grace_period: Option<Duration>) -> Self {
         Self {
             attempts: Vec::new(),
@@ -22,15 +30,19 @@
         }
     }
 
-    /// Adds an attempt to abort.
-    pub(super) fn add(&mut self, attempt: &JoinHandle<()>) {
-        self.attempts.push(attempt.abort_handle());
+    /// Adds an attempt, and the gate that it passes when it sends the request.
+    pub(super) fn add(&mut self, task: &JoinHandle<()>, gate: Arc<SendGate>) {
+        self.attempts.push(GuardedAttempt {
+            task: task.abort_handle(),
+            gate,
+        });
     }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.attempts.retain(|attempt| !attempt.is_finished());
+        self.attempts
+            .retain(|attempt| !attempt.gate.close() && !attempt.task.is_finished());
         let Some(grace_period) = self.grace_period else {
             return;
         };
@@ -44,7 +56,7 @@
         runtime.spawn(async move {
             tokio::time::sleep(grace_period).await;
             for attempt in attempts {
-                attempt.abort();
+                attempt.task.abort();
             }
         });
     }
