Say "not run" of a request that was never sent

What callers saw: a request that waited for a connection until its deadline got 504, "may have run", though nothing had been sent. A caller that must not repeat it could not send it again.

Cause: when a run ended, each attempt whose outcome was not known counted as sent.

Change: the run first closes the gates of its attempts; only those that have passed them and whose outcome is not known count as sent.

Evidence: at_most_once::queued_request_refused fails without the change (504 in place of 503) and passes with it.

Why it works: an attempt whose gate is closed before it passed never sends, so that the refusal stays true after it is given.

--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -19,8 +19,14 @@
 /// is greater than 1 because the expected latency is only approximate.
 const SKIP_FACTOR: u32 = 2;
 
-/// Index of a sub-request, and the outcome of one of its attempts.
-type IndexedOutcome = (usize, AttemptOutcome);
+/// The outcome of an attempt.
+struct AttemptReport {
+    /// Index of the sub-request.
+    index: usize,
+    /// The gate of the attempt.
+    gate: Arc<SendGate>,
+    outcome: AttemptOutcome,
+}
 
 /// The upstream chosen for an attempt, with the properties by which candidates were compared.
 type UpstreamChoice = (Arc<TrackedUpstream>, RankedReplica);
@@ -37,8 +43,8 @@
     extra_send_count: u32,
     may_have_run: bool,
     guard: RunGuard,
-    outcome_sender: UnboundedSender<IndexedOutcome>,
-    outcome_receiver: UnboundedReceiver<IndexedOutcome>,
+    report_sender: UnboundedSender<AttemptReport>,
+    report_receiver: UnboundedReceiver<AttemptReport>,
 }
 
 impl FanoutRun {
@@ -59,7 +65,7 @@
             RepeatPolicy::Idempotent => Some(gateway.settings.abandoned_grace_period),
             RepeatPolicy::NonIdempotent => None,
         };
-        let (outcome_sender, outcome_receiver) = unbounded_channel();
+        let (report_sender, report_receiver) = unbounded_channel();
         Self {
             gateway,
             request,
@@ -71,8 +77,8 @@
             extra_send_count: 0,
             may_have_run: false,
             guard: RunGuard::new(grace_period),
-            outcome_sender,
-            outcome_receiver,
+            report_sender,
+            report_receiver,
         }
     }
 
@@ -109,12 +115,12 @@
             }
             let pause = self.next_event_time(waited).saturating_sub(waited);
             tokio::select! {
-                outcome = self.outcome_receiver.recv() => {
-                    if let Some((index, outcome)) = outcome {
-                        self.handle_outcome(index, outcome);
+                report = self.report_receiver.recv() => {
+                    if let Some(report) = report {
+                        self.handle_report(report);
                     }
-                    while let Ok((index, outcome)) = self.outcome_receiver.try_recv() {
-                        self.handle_outcome(index, outcome);
+                    while let Ok(report) = self.report_receiver.try_recv() {
+                        self.handle_report(report);
                     }
                 }
                 () = sleep(pause) => {
@@ -300,7 +306,7 @@
         Some((Arc::clone(&group.upstreams[chosen]), candidates[chosen]))
     }
 
-    /// Starts an attempt in the background; its outcome arrives at `outcome_receiver`.
+    /// Starts an attempt in the background; its outcome arrives at `report_receiver`.
     fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>) {
         let gate = Arc::new(SendGate::default());
         let attempt = AttemptRun {
@@ -313,18 +319,29 @@
             typical_latency: self.plan.typical_latency,
             deadline: self.plan.arrived_at + self.plan.cutoff.final_cutoff,
         };
-        let outcome_sender = self.outcome_sender.clone();
+        let report_sender = self.report_sender.clone();
+        let report_gate = Arc::clone(&gate);
         let task = tokio::spawn(async move {
-            let outcome = attempt.run().await;
+            let report = AttemptReport {
+                index,
+                gate: report_gate,
+                outcome: attempt.run().await,
+            };
             // Sending fails if the request has already ended and the receiver was dropped.
-            let _ = outcome_sender.send((index, outcome));
+            let _ = report_sender.send(report);
         });
         self.guard.add(&task, gate);
     }
 
     /// Records how an attempt ended, and sends the sub-request to another upstream if repeating it is allowed and an
     /// upstream is available.
-    fn handle_outcome(&mut self, index: usize, outcome: AttemptOutcome) {
+    fn handle_report(&mut self, report: AttemptReport) {
+        let AttemptReport {
+            index,
+            gate,
+            outcome,
+        } = report;
+        self.guard.forget(&gate);
         let is_idempotent = self.plan.repeat_policy == RepeatPolicy::Idempotent;
         let sub_request = &mut self.sub_requests[index];
         sub_request.in_flight_count -= 1;
@@ -384,14 +401,11 @@
         }
     }
 
-    fn finish(self, is_answered: bool) -> FanoutOutcome {
-        let has_in_flight = self
-            .sub_requests
-            .iter()
-            .any(|sub_request| sub_request.in_flight_count > 0);
+    fn finish(mut self, is_answered: bool) -> FanoutOutcome {
+        let has_sent = self.guard.close();
         FanoutOutcome {
             is_answered,
-            may_have_run: self.may_have_run || has_in_flight,
+            may_have_run: self.may_have_run || has_sent,
             is_late: self.time_waited() >= self.plan.cutoff.final_cutoff,
             single_answer: self.single_answer,
             records: self.records,
--- a/crates/anvilhubd/src/gateway/run_guard.rs
+++ b/crates/anvilhubd/src/gateway/run_guard.rs
@@ -37,12 +37,25 @@
             gate,
         });
     }
+
+    /// Forgets the attempt that passes `gate`, since its outcome is known.
+    pub(super) fn forget(&mut self, gate: &Arc<SendGate>) {
+        self.attempts
+            .retain(|attempt| !Arc::ptr_eq(&attempt.gate, gate));
+    }
+
+    /// Ends the attempts that have not sent the request. Returns whether one that has sent it is left, whose outcome is
+    /// not known.
+    pub(super) fn close(&mut self) -> bool {
+        self.attempts.retain(|attempt| !attempt.gate.close());
+        !self.attempts.is_empty()
+    }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.attempts
-            .retain(|attempt| !attempt.gate.close() && !attempt.task.is_finished());
+        self.close();
+        self.attempts.retain(|attempt| !attempt.task.is_finished());
         let Some(grace_period) = self.grace_period else {
             return;
         };
