Look again at the moment of sending whether the upstream is leaving

Cause: whether an upstream is leaving was looked at when it was chosen, and after the wait for a connection only whether it had been removed.

Change: an attempt stops waiting when its upstream is removed or may get no more requests, and looks again when it sends; the request goes to another upstream. A free connection is taken without these checks of the wait. The reason "no time is left" is now told apart from a removal in the log.

Why it works: what allows a request to go is read after the last wait before it goes.

--- a/crates/anvilhub-coord/src/gateway/leaving_state.rs
+++ b/crates/anvilhub-coord/src/gateway/leaving_state.rs
@@ -43,7 +43,11 @@
     /// Returns whether the upstream may still get requests: it is not leaving, or `grace_period` has not passed since
     /// this instance learned that it is.
     pub fn is_usable(&self, now: ClockTime, grace_period: Duration) -> bool {
-        self.leaving_since
-            .is_none_or(|since| now.since(since) < grace_period)
+        self.usable_until(grace_period).is_none_or(|end| now < end)
+    }
+
+    /// Returns the time from which the upstream gets no more requests; `None` while it is not leaving.
+    pub fn usable_until(&self, grace_period: Duration) -> Option<ClockTime> {
+        self.leaving_since.map(|since| since + grace_period)
     }
 }
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -8,6 +8,7 @@
 use hyper::header::{self, HeaderMap};
 use hyper::http::response::Parts;
 use log::info;
+use tokio::sync::SemaphorePermit;
 use tokio::time::timeout;
 
 use crate::pool::{PoolError, UpstreamConnection};
@@ -76,7 +77,7 @@
                     .record_unsent(&self.upstream.process);
                 guard.record_failure(FailureKind::Unconnected);
             }
-            AttemptOutcome::Withdrawn => {
+            AttemptOutcome::Withdrawn | AttemptOutcome::Unsuitable => {
                 self.gateway
                     .fleet
                     .limits
@@ -90,17 +91,10 @@
 
     /// Sends the request and reads the answer, at the latest until the deadline.
     async fn exchange(&self, started_at: ClockTime) -> AttemptOutcome {
-        let time_left = self.deadline.since(started_at);
-        let queued = timeout(time_left, self.upstream.connection_permits.acquire());
-        let permit = tokio::select! {
-            biased;
-            () = self.gate.wait_closed() => return AttemptOutcome::Withdrawn,
-            permit = queued => permit,
-        };
-        let Ok(permit) = permit else {
-            return not_sent("every connection of this instance's share is in use");
+        let _permit = match self.acquire_permit(started_at).await {
+            Ok(permit) => permit,
+            Err(outcome) => return outcome,
         };
-        let _permit = permit.expect("the semaphore stays open");
         let permitted_at = self.gateway.clock.now();
         let ReadyConnection {
             mut connection,
@@ -111,8 +105,18 @@
         };
         let now = self.gateway.clock.now();
         let time_left = self.deadline.since(now);
-        if time_left < MIN_TIME_LEFT || self.upstream.is_removed() {
-            return not_sent("no time is left, or the upstream was removed");
+        if time_left < MIN_TIME_LEFT {
+            return not_sent("no time is left");
+        }
+        let leaving_grace = self.gateway.settings.leaving_grace_period;
+        if !self.upstream.is_usable(now, leaving_grace) {
+            return AttemptOutcome::Unsuitable;
+        }
+        if !self.gate.pass() {
+            self.upstream
+                .idle_connections
+                .with(|idle_connections| idle_connections.put(now, checked_at, connection));
+            return AttemptOutcome::Withdrawn;
         }
         let request = self.request.to_request(|headers| {
             let metadata = SendMetadata {
@@ -121,12 +125,6 @@
             };
             self.gateway.codec.write_request(headers, &metadata);
         });
-        if !self.gate.pass() {
-            self.upstream
-                .idle_connections
-                .with(|idle_connections| idle_connections.put(now, checked_at, connection));
-            return AttemptOutcome::Withdrawn;
-        }
         self.log_long_wait(permitted_at.since(started_at), now.since(permitted_at));
         let is_reused = connection.is_used();
         let limit = self.gateway.settings.max_answer_size;
@@ -161,6 +159,35 @@
         }
     }
 
+    /// Waits for one of this instance's connections to the upstream, until the deadline or until there is no reason left
+    /// to wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the outcome of the attempt, which has sent nothing.
+    async fn acquire_permit(
+        &self,
+        started_at: ClockTime,
+    ) -> Result<SemaphorePermit<'_>, AttemptOutcome> {
+        let permits = &self.upstream.connection_permits;
+        if let Ok(permit) = permits.try_acquire() {
+            return Ok(permit);
+        }
+        let leaving_grace = self.gateway.settings.leaving_grace_period;
+        let queued = timeout(self.deadline.since(started_at), permits.acquire());
+        tokio::select! {
+            biased;
+            () = self.gate.wait_closed() => Err(AttemptOutcome::Withdrawn),
+            () = self.upstream.wait_unusable(self.gateway.clock, leaving_grace) => {
+                Err(AttemptOutcome::Unsuitable)
+            }
+            permit = queued => match permit {
+                Ok(permit) => Ok(permit.expect("the semaphore stays open")),
+                Err(_) => Err(not_sent("every connection of this instance's share is in use")),
+            },
+        }
+    }
+
     /// Logs that the request is sent long after its upstream was chosen. `queued` is how long it waited for one of this
     /// instance's connections, and `connecting` for that connection to be open.
     fn log_long_wait(&self, queued: Duration, connecting: Duration) {
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -369,6 +369,12 @@
                 sub_request.outcome = SubRequestOutcome::Ended(reason);
                 (true, SendCause::Resend)
             }
+            AttemptOutcome::Unsuitable => {
+                sub_request.send_count -= 1;
+                sub_request.outcome =
+                    SubRequestOutcome::Ended("the upstream is leaving or was removed".to_owned());
+                (true, SendCause::Resend)
+            }
             AttemptOutcome::Withdrawn => {
                 sub_request.send_count -= 1;
                 (false, SendCause::Resend)
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -4,9 +4,10 @@
 use anvilhub_coord::gateway::{LeavingState, RankedReplica, ReplicaStats, UpstreamRecord};
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio::time::timeout;
 
+use crate::daemon_clock::DaemonClock;
 use crate::pool::UpstreamConnection;
 use crate::routes::LockCell;
 
@@ -25,6 +26,8 @@
     leaving_state: LockCell<LeavingState>,
     /// Whether the upstream was removed, or its address belongs to another one.
     is_removed: AtomicBool,
+    /// Wakes attempts that wait for a connection when the upstream begins to leave or is removed.
+    state_changed: Notify,
 }
 
 impl TrackedUpstream {
@@ -37,21 +40,53 @@
             connection_permits: Semaphore::new(max_connections),
             leaving_state: LockCell::default(),
             is_removed: AtomicBool::new(false),
+            state_changed: Notify::new(),
         }
     }
 
     /// Sets whether the upstream announced that it is leaving, and whether it is missing from the platform's list;
     /// returns whether this changed.
     pub(super) fn set_leaving(&self, now: ClockTime, is_leaving: bool, is_missing: bool) -> bool {
-        self.leaving_state.with(|state| {
+        let has_changed = self.leaving_state.with(|state| {
             let has_changed = state.set_leaving(now, is_leaving);
             state.set_missing(is_missing) || has_changed
-        })
+        });
+        if has_changed {
+            self.state_changed.notify_waiters();
+        }
+        has_changed
     }
 
     /// Records that the upstream was removed or that its address belongs to another one: it gets no more requests.
     pub(super) fn mark_removed(&self) {
         self.is_removed.store(true, Ordering::Relaxed);
+        self.state_changed.notify_waiters();
+    }
+
+    /// Returns whether a request may be sent now: the upstream was not removed, and if it is leaving, `grace_period` has
+    /// not passed since this instance learned of that.
+    pub(super) fn is_usable(&self, now: ClockTime, grace_period: Duration) -> bool {
+        let is_staying = self
+            .leaving_state
+            .with(|state| state.is_usable(now, grace_period));
+        is_staying && !self.is_removed()
+    }
+
+    /// Waits until no request may be sent any more.
+    pub(super) async fn wait_unusable(&self, clock: DaemonClock, grace_period: Duration) {
+        loop {
+            let changed = self.state_changed.notified();
+            let now = clock.now();
+            if !self.is_usable(now, grace_period) {
+                return;
+            }
+            let end = self
+                .leaving_state
+                .with(|state| state.usable_until(grace_period));
+            let time_left = end.map_or(Duration::MAX, |end| end.since(now));
+            // Both a change and the end of the time are reasons to look again.
+            let _ = timeout(time_left, changed).await;
+        }
     }
 
     pub(super) fn is_removed(&self) -> bool {
@@ -103,10 +138,8 @@
         permit: SendPermit,
         was_tried: bool,
     ) -> RankedReplica {
-        let (is_leaving, is_usable) = self.leaving_state.with(|state| {
-            let is_usable = state.is_usable(now, settings.leaving_grace_period);
-            (state.is_last_resort(), is_usable)
-        });
+        let is_leaving = self.leaving_state.with(|state| state.is_last_resort());
+        let is_usable = self.is_usable(now, settings.leaving_grace_period);
         let slots = self.record.slots.get();
         let (cost, queue_rounds, is_cooling_down) = self.stats.with(|stats| {
             let cost = stats.cost(now, typical_latency, slots);
@@ -123,7 +156,7 @@
             is_leaving,
             is_local: self.record.failure_domain == settings.failure_domain,
             is_limited: permit != SendPermit::Unlimited,
-            is_excluded: was_tried || self.is_removed() || !is_usable || permit.is_denied(),
+            is_excluded: was_tried || !is_usable || permit.is_denied(),
         }
     }
 }
