Answer callers before the end of a planned stop's grace period

Cause: the process did not know when that is; a request could last as long as its route allows.

A request that comes in a stop gets no more time than that.

Evidence: planned_stops::long_requests_answered fails without the deadline (no answer for a minute) and passes with it. pipelined_request_unsent and second_signal_ignored hold before and after.

Why it works: every wait of a request is in the run, in the reading of its body or in the wait for a relay, and each of these ends at the deadline.

--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -82,8 +82,16 @@
         }
     }
 
-    /// Sends the sub-requests and waits until the plan's cutoff decides how the request ends.
+    /// Sends the sub-requests and waits until the plan's cutoff decides how the request ends, at the latest until callers
+    /// must be answered because this instance stops.
     pub(super) async fn run(mut self) -> FanoutOutcome {
+        if let Some(deadline) = self.gateway.stop_deadline.get() {
+            let time_left = deadline.since(self.plan.arrived_at);
+            self.plan.cutoff.final_cutoff = self.plan.cutoff.final_cutoff.min(time_left);
+            if self.time_waited() >= time_left {
+                return self.finish(false);
+            }
+        }
         let now = self.gateway.clock.now();
         let choices: Vec<Option<UpstreamChoice>> = (0..self.sub_requests.len())
             .map(|index| self.choose_upstream(index, now))
@@ -123,6 +131,9 @@
                         self.handle_report(report);
                     }
                 }
+                () = self.gateway.stop_deadline.wait(self.gateway.clock) => {
+                    self.plan.cutoff.final_cutoff = self.time_waited();
+                }
                 () = sleep(pause) => {
                     let lag = self.time_waited().saturating_sub(waited + pause);
                     self.gateway.timer_lag.with(|timer_lag| timer_lag.record(lag));
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -19,8 +19,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable, TrackedUpstream,
-    UpstreamTable,
+    GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable, StopDeadline,
+    TrackedUpstream, UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -57,6 +57,8 @@
     /// Time of the last log line about an exhausted budget, in microseconds since the start of `clock`; 0 before the
     /// first one.
     last_budget_log_us: AtomicU64,
+    /// When callers must be answered because this instance stops.
+    pub(super) stop_deadline: StopDeadline,
     /// How late timers of this instance fire.
     pub(super) timer_lag: LockCell<TimerLag>,
     /// Wakes requests that wait for the first configuration and the first list of upstreams.
@@ -83,6 +85,7 @@
             retry_budgets: LockCell::default(),
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
+            stop_deadline: StopDeadline::default(),
             timer_lag: LockCell::default(),
             state_changed: Notify::new(),
         })
@@ -199,6 +202,21 @@
         )
     }
 
+    /// Records that a planned stop begins.
+    pub(super) fn begin_stop(&self) {
+        self.stop_deadline
+            .begin(self.clock.now(), self.settings.stop_grace);
+        self.fleet.announce_leaving();
+    }
+
+    /// Runs `future` until it ends or callers must be answered because this instance stops, `None` in that case.
+    pub(super) async fn run_until_stop<F: Future>(&self, future: F) -> Option<F::Output> {
+        tokio::select! {
+            output = future => Some(output),
+            () = self.stop_deadline.wait(self.clock) => None,
+        }
+    }
+
     /// Returns in which failure domains `shards` have upstreams. The shares are computed again only after the
     /// upstreams or the configuration have changed; `state` and `version` are those of the route.
     pub(super) fn domain_shares(
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -109,7 +109,7 @@
         server_limits(gateway.settings.max_caller_connections),
     );
     let drain_grace = gateway.settings.drain_grace;
-    let fleet = Arc::clone(&gateway.fleet);
+    let stopping_gateway = Arc::clone(&gateway);
     let stop_thread = std::thread::Builder::new()
         .name("stop".to_owned())
         .spawn(move || {
@@ -117,7 +117,7 @@
             let _ = signals.recv();
             info!("draining");
             let lifecycle = lifecycle.drain();
-            fleet.announce_leaving();
+            stopping_gateway.begin_stop();
             std::thread::sleep(drain_grace);
             let _ = stop_sender.send(true);
             lifecycle
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -175,7 +175,13 @@
         }
         let limit = table.catalog.limits.max_body_size.get() as usize;
         let timeout = table.catalog.rules()[route_index].timeout;
-        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
+        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
+        let Some(read) = self.gateway.run_until_stop(read).await else {
+            return Err(error_response(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive before this instance stops",
+            ));
+        };
         match read {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(error_response(
@@ -427,7 +433,14 @@
     while tried.len() < MAX_TRIED_RELAYS {
         let relay = fleet.choose_relay(sub_request_count, shares, &tried)?;
         request_log.relay = relay.instance.to_string();
-        match run.relay_to(&relay).await {
+        let Some(outcome) = run.gateway.run_until_stop(run.relay_to(&relay)).await else {
+            request_log.reason = "stopping";
+            return Some(error_response(
+                StatusCode::GATEWAY_TIMEOUT,
+                "no answer before this instance stops; the request may have run",
+            ));
+        };
+        match outcome {
             RelayOutcome::Answered(head, body) => {
                 request_log.reason = "relayed";
                 return Some(forwarded_response(head.status, head.headers, body));
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -33,6 +33,8 @@
     /// How long a stopping instance still accepts connections: the load balancer checks once a second and removes an
     /// instance after two failed checks.
     pub drain_grace: Duration,
+    /// Time after the signal for a planned stop at which the platform kills the process.
+    pub stop_grace: Duration,
     /// Time before the caller's deadline that is reserved for the answer's network latency; also the maximum time
     /// reserved before its latency target.
     pub answer_margin: Duration,
@@ -72,6 +74,7 @@
             max_answer_size: ByteSize(8 * 1024 * 1024),
             connect_timeout: Duration::from_millis(250),
             drain_grace: Duration::from_millis(2_600),
+            stop_grace: Duration::from_secs(6),
             answer_margin: Duration::from_millis(10),
             extra_load: 0.2,
             extra_window: Duration::from_secs(10),
