Let a reader notice that a follower has values that it lacks

What would be seen (read in the code by the review, not shown): a follower that learned of an upstream elsewhere keeps it for good, if the upstream goes while its reader has lost the platform's history.

Cause: the reader's full read says nothing of a value that it never knew, so that no update tells the follower of the removal.

Change: a follower states the number of its values; one for which there are no changes and that has another number gets all values. An instance of an earlier version states none and is served as before.

Evidence: feed_log::unseen_removal_noticed fails without the comparison (no update) and passes with it. Whether it happens on the platform was not shown, before or after.

Why it works: with no changes left both must have the same values, and a full update removes what it does not name.

--- a/crates/anvilhub-coord/src/fleet/feed_log.rs
+++ b/crates/anvilhub-coord/src/fleet/feed_log.rs
@@ -112,6 +112,31 @@
         })
     }
 
+    /// Returns the number of values.
+    pub fn value_count(&self) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.value.is_some()).count()
+    }
+
+    /// Returns the changes for a follower that has all of them up to `after` and `value_count` values, if it states that
+    /// number. A follower for which there are no changes and that has another number of values gets all of them: it may
+    /// have learned elsewhere of a value that came and went between two full reads of this log.
+    pub fn changes_for(
+        &self,
+        after: Option<PlatformPlace>,
+        value_count: Option<usize>,
+    ) -> Option<FeedUpdate> {
+        if let Some(changes) = self.changes_since(after) {
+            return Some(changes);
+        }
+        let is_known = after.is_some_and(|after| Some(after) <= self.place);
+        let has_other_values = value_count.is_some_and(|count| count != self.value_count());
+        match is_known && has_other_values {
+            true => self.changes_since(None),
+            false => None,
+        }
+    }
+
     /// Drops all removals when there are too many.
     fn limit_removals(&mut self) {
         let is_present = |record: &FeedRecord| record.value.is_some();
--- a/crates/anvilhub-coord/tests/feed_log.rs
+++ b/crates/anvilhub-coord/tests/feed_log.rs
@@ -198,3 +198,27 @@
     assert_eq!(list_keys(&changes), [("d", true)]);
     assert_eq!(log.place(), Some(place(2, 8)));
 }
+
+/// A value that came and went while the reader had lost the platform's history is in none of the reader's updates. A follower
+/// that had learned of it elsewhere must still hear that it is gone.
+#[test]
+fn unseen_removal_noticed() {
+    let mut reader = build_log();
+    let mut follower = build_log();
+    apply(
+        &mut follower,
+        update(12, false, vec![record("d", Some("1"), 12)]),
+    )
+    .expect("a change");
+    let all = vec![record("b", Some("1"), 5), record("c", Some("1"), 7)];
+    apply(&mut reader, update(20, true, all)).expect("a full read");
+    let count = Some(follower.value_count());
+    let changes = reader.changes_for(follower.place(), count);
+    apply(&mut follower, changes.expect("a difference")).expect("it is newer");
+    assert_eq!(follower.value_count(), reader.value_count());
+    assert_eq!(
+        reader.changes_for(follower.place(), Some(follower.value_count())),
+        None,
+        "nothing is sent again"
+    );
+}
--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -148,6 +148,7 @@
             sender: self.state.own_info(),
             after: place.map(|place| place.revision),
             era: place.map(|place| place.era),
+            value_count: Some(self.state.value_count()),
             is_platform_unreachable: self.state.is_platform_unreachable(),
             wants_members,
             wait_ms: wait.as_millis() as u64,
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -238,6 +238,11 @@
         self.feed.with(|feed| feed.log.place())
     }
 
+    /// Returns the number of the platform's values that this instance has.
+    pub(super) fn value_count(&self) -> usize {
+        self.feed.with(|feed| feed.log.value_count())
+    }
+
     /// Records that this instance failed to read the platform.
     pub(crate) fn record_read_failure(&self) {
         let now = self.clock.now();
@@ -425,7 +430,9 @@
         self.feed.with(|feed| FollowAnswer {
             sender,
             limits,
-            update: feed.log.changes_since(call.place(feed.log.place())),
+            update: feed
+                .log
+                .changes_for(call.place(feed.log.place()), call.value_count),
             era: feed.log.place().map(|place| place.era),
             held_ms: u64::try_from(received_at.elapsed().as_millis()).unwrap_or(u64::MAX),
             platform_age_ms: age_ms(self.last_platform_answer()),
--- a/crates/anvilhubd/src/fleet/follow_call.rs
+++ b/crates/anvilhubd/src/fleet/follow_call.rs
@@ -15,6 +15,9 @@
     /// The era of `after`; `None` from an instance of an earlier version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) era: Option<PlatformEra>,
+    /// Number of values that the calling instance has; `None` from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) value_count: Option<usize>,
     /// Whether the calling instance considers the platform unreachable.
     #[serde(rename = "is_platform_lost")]
     pub(crate) is_platform_unreachable: bool,
