Heed what upstreams say of themselves in their answers

Change: an upstream that says that it is leaving counts as leaving from then on, whatever the list says of that process. One that answers 503 with Retry-After gets nothing until the time is over (an hour at most; the longest of several; a date, a negative or other value states nothing), neither first attempts, hedges, retries nor connections ahead of need, and requests that wait for a connection to it move on. If all upstreams of a service rest, callers are refused at once and told when to come back. RestState decides, and TrackedUpstream::is_usable is the one place that sees leaving, removal and rests.

Evidence: upstream_announcements, 5 tests through a real process. Four fail without the change (requests at the upstream: 7 in place of 1 at one that leaves, 1,329 in place of 1 at a lone one that rests, 10 in place of 1 for stated rests; and a lone one that leaves is used without end) and pass with it; the fifth, of another upstream that serves, holds before and after. rest_state tests the decision with a manual clock.

--- a/crates/anvilhub-coord/src/gateway/leaving_state.rs
+++ b/crates/anvilhub-coord/src/gateway/leaving_state.rs
@@ -9,20 +9,28 @@
 /// replacement arrives. It gets none after that, because it may stop at any moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeavingState {
-    leaving_since: Option<ClockTime>,
+    /// When this instance learned that the platform's list names the upstream as leaving; `None` while it does not.
+    listed_since: Option<ClockTime>,
+    /// When the upstream first said in an answer that it is leaving; `None` if it never did.
+    announced_at: Option<ClockTime>,
     is_missing: bool,
 }
 
 impl LeavingState {
-    /// Sets whether the upstream is leaving, as known at `now`; returns whether this changed the state.
+    /// Sets whether the platform's list names the upstream as leaving, as known at `now`; returns whether this changed
+    /// whether it is leaving.
     pub fn set_leaving(&mut self, now: ClockTime, is_leaving: bool) -> bool {
-        let has_changed = self.is_leaving() != is_leaving;
-        match (is_leaving, self.leaving_since) {
-            (true, None) => self.leaving_since = Some(now),
-            (true, Some(_)) => {}
-            (false, _) => self.leaving_since = None,
-        }
-        has_changed
+        let was_leaving = self.is_leaving();
+        self.listed_since = is_leaving.then(|| self.listed_since.unwrap_or(now));
+        self.is_leaving() != was_leaving
+    }
+
+    /// Records that the upstream said at `now` in an answer that it is leaving. No list takes that back. Returns whether
+    /// it was not known.
+    pub fn record_announcement(&mut self, now: ClockTime) -> bool {
+        let was_leaving = self.is_leaving();
+        self.announced_at = self.announced_at.or(Some(now));
+        !was_leaving
     }
 
     /// Sets whether the upstream is missing from the platform's list; returns whether this changed the state.
@@ -37,7 +45,7 @@
 
     /// Returns whether the upstream is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving_since.is_some()
+        self.leaving_since().is_some()
     }
 
     /// Returns whether the upstream may still get requests: it is not leaving, or `grace_period` has not passed since
@@ -48,6 +56,11 @@
 
     /// Returns the time from which the upstream gets no more requests; `None` while it is not leaving.
     pub fn usable_until(&self, grace_period: Duration) -> Option<ClockTime> {
-        self.leaving_since.map(|since| since + grace_period)
+        self.leaving_since().map(|since| since + grace_period)
+    }
+
+    fn leaving_since(&self) -> Option<ClockTime> {
+        let known = [self.listed_since, self.announced_at];
+        known.into_iter().flatten().min()
     }
 }
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -38,6 +38,7 @@
 mod replica_picker;
 mod replica_ranker;
 mod replica_stats;
+mod rest_state;
 mod retry_advice;
 mod retry_budget;
 mod scenario;
--- a/crates/anvilhubd/src/gateway/answer_metadata.rs
+++ b/crates/anvilhubd/src/gateway/answer_metadata.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use anvilhub_coord::gateway::SlotLoad;
 use anvilhub_coord::limit::StatedLimit;
 use hyper::header::HeaderValue;
@@ -15,6 +17,10 @@
     pub signature: Option<HeaderValue>,
     /// Load that the upstream reports.
     pub load: Option<SlotLoad>,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the upstream asks to get no requests.
+    pub rest: Option<Duration>,
     /// Limit of requests from all instances together that the upstream names.
     pub limit: StatedLimit,
 }
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -264,6 +264,14 @@
                 .stats
                 .with(|stats| stats.record_load(now, load));
         }
+        if !metadata.is_misdirected {
+            if metadata.is_leaving {
+                self.upstream.record_leaving(now);
+            }
+            if let Some(rest) = metadata.rest {
+                self.upstream.record_rest(now, rest);
+            }
+        }
         // The limit in a misdirected answer is that of another upstream.
         if !metadata.is_misdirected {
             let has_run = metadata.signature.is_some() && !metadata.is_not_run;
--- a/crates/anvilhubd/src/gateway/fanout_outcome.rs
+++ b/crates/anvilhubd/src/gateway/fanout_outcome.rs
@@ -1,6 +1,4 @@
-use std::time::Duration;
-
-use super::{SubRequest, UpstreamAnswer};
+use super::{RefusalWait, SubRequest, UpstreamAnswer};
 use anvilhub_coord::gateway::TopRecords;
 
 /// How a request ended after its sub-requests were sent to upstreams.
@@ -19,7 +17,6 @@
     pub(super) records: TopRecords,
     /// Number of hedges and retries.
     pub(super) extra_send_count: u32,
-    /// Expected time until enough upstreams have room under the limits that they name; `None` if the request was not
-    /// refused because of limits.
-    pub(super) limit_wait: Option<Duration>,
+    /// When enough upstreams may get the request; `None` if the request may have run, or enough of them may get it now.
+    pub(super) refusal_wait: Option<RefusalWait>,
 }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -4,15 +4,15 @@
 use anvilhub_coord::gateway::{
     CutoffVerdict, HedgeRule, RankedReplica, ReplicaRanker, SkipRule, SubRequestState, TopRecords,
 };
-use anvilhub_coord::limit::SendPermit;
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::sleep;
 
 use super::{
-    AttemptOutcome, AttemptRun, FanoutOutcome, FanoutPlan, ForwardedRequest, Gateway, RouteState,
-    RunGuard, SendCause, SendGate, SubRequest, SubRequestOutcome, TrackedUpstream, UpstreamAnswer,
+    AttemptOutcome, AttemptRun, FanoutOutcome, FanoutPlan, ForwardedRequest, Gateway, RefusalWait,
+    RouteState, RunGuard, SendCause, SendGate, SubRequest, SubRequestOutcome, TrackedUpstream,
+    UpstreamAnswer,
 };
 
 /// Factor by which the expected latency of a sub-request must exceed the time until the cutoff for it to be skipped. It
@@ -97,7 +97,8 @@
             .map(|index| self.choose_upstream(index, now))
             .collect();
         if count_sendable(&choices) < self.plan.cutoff.min_sub_requests {
-            return self.refuse(&choices, now);
+            // Too few services have an upstream that may get the request now. Nothing is sent.
+            return self.finish(false);
         }
         let skipped = self.choose_skipped(&choices);
         for (index, choice) in choices.into_iter().enumerate() {
@@ -143,34 +144,45 @@
         }
     }
 
-    /// Ends a request that cannot be answered, since too few of its services have an upstream that may get it now.
-    /// Nothing has been sent.
-    fn refuse(mut self, choices: &[Option<UpstreamChoice>], now: ClockTime) -> FanoutOutcome {
-        let missing_count = self.plan.cutoff.min_sub_requests - count_sendable(choices);
+    /// Returns when enough upstreams may get the request and why they may not now; `None` if enough of them may get it.
+    fn refusal_wait(&mut self, now: ClockTime) -> Option<RefusalWait> {
+        let leaving_grace = self.gateway.settings.leaving_grace_period;
         let mut waits = Vec::new();
-        for (sub_request, choice) in self.sub_requests.iter_mut().zip(choices) {
-            let group = sub_request.group.as_ref().filter(|_| choice.is_none());
+        for sub_request in &mut self.sub_requests {
+            if sub_request.state == SubRequestState::Done {
+                continue;
+            }
+            let group = sub_request.group.as_ref();
             let upstreams = group.into_iter().flat_map(|group| &group.upstreams);
-            let wait = upstreams
-                .filter(|upstream| !upstream.is_removed())
-                .filter_map(|upstream| {
-                    match self.gateway.fleet.send_permit(now, &upstream.process) {
-                        SendPermit::Denied { wait } => Some(wait),
-                        SendPermit::Unlimited | SendPermit::Granted => None,
-                    }
+            let staying = upstreams.filter(|upstream| !upstream.is_removed());
+            let blocked: Vec<Option<RefusalWait>> = staying
+                .filter(|upstream| {
+                    !upstream.rest_left(now).is_zero() || upstream.is_usable(now, leaving_grace)
+                })
+                .map(|upstream| {
+                    let permit = self.gateway.fleet.send_permit(now, &upstream.process);
+                    upstream.refusal_wait(now, permit)
                 })
-                .min();
-            if let Some(wait) = wait {
-                sub_request.outcome = SubRequestOutcome::Ended("limited".to_owned());
+                .collect();
+            if blocked.contains(&None) {
+                // One of them may get it now.
+                continue;
+            }
+            if let Some(wait) = blocked.into_iter().flatten().min_by_key(|wait| wait.time) {
+                if sub_request.send_count == 0 {
+                    sub_request.outcome = SubRequestOutcome::Ended(wait.reason.name().to_owned());
+                }
                 waits.push(wait);
             }
         }
-        waits.sort();
-        let limit_wait = waits.get(missing_count - 1).copied();
-        FanoutOutcome {
-            limit_wait,
-            ..self.finish(false)
-        }
+        waits.sort_by_key(|wait| wait.time);
+        let sendable_count = self.sub_requests.len() - waits.len();
+        let missing_count = self
+            .plan
+            .cutoff
+            .min_sub_requests
+            .saturating_sub(sendable_count);
+        waits.get(missing_count.checked_sub(1)?).copied()
     }
 
     /// Returns the indexes of the sub-requests that are not sent because their answers are expected too late. Enough
@@ -382,8 +394,9 @@
             }
             AttemptOutcome::Unsuitable => {
                 sub_request.send_count -= 1;
-                sub_request.outcome =
-                    SubRequestOutcome::Ended("the upstream is leaving or was removed".to_owned());
+                sub_request.outcome = SubRequestOutcome::Ended(
+                    "the upstream is leaving, rests or was removed".to_owned(),
+                );
                 (true, SendCause::Resend)
             }
             AttemptOutcome::Withdrawn => {
@@ -419,16 +432,21 @@
     }
 
     fn finish(mut self, is_answered: bool) -> FanoutOutcome {
-        let has_sent = self.guard.close();
+        let may_have_run = self.guard.close() || self.may_have_run;
+        let now = self.gateway.clock.now();
+        let refusal_wait = match is_answered || may_have_run {
+            true => None,
+            false => self.refusal_wait(now),
+        };
         FanoutOutcome {
             is_answered,
-            may_have_run: self.may_have_run || has_sent,
+            may_have_run,
+            refusal_wait,
             is_late: self.time_waited() >= self.plan.cutoff.final_cutoff,
             single_answer: self.single_answer,
             records: self.records,
             extra_send_count: self.extra_send_count,
             sub_requests: self.sub_requests,
-            limit_wait: None,
         }
     }
 }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -317,11 +317,10 @@
         }
         match (outcome.may_have_run, outcome.is_late) {
             (false, _) => {
-                request_log.reason = match outcome.limit_wait {
-                    Some(_) => "limited",
-                    None => "not_run",
-                };
-                not_run_response(outcome.limit_wait.unwrap_or(QUEUE_DRAIN_TIME), time_left)
+                let wait = outcome.refusal_wait;
+                request_log.reason = wait.map_or("not_run", |wait| wait.reason.name());
+                let delay = wait.map_or(QUEUE_DRAIN_TIME, |wait| wait.time);
+                not_run_response(delay, time_left)
             }
             (true, true) => {
                 request_log.reason = "timeout";
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -1,9 +1,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{LeavingState, RankedReplica, ReplicaStats, UpstreamRecord};
+use anvilhub_coord::gateway::{
+    LeavingState, RankedReplica, ReplicaStats, RestState, UpstreamRecord,
+};
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
+use log::info;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::timeout;
 
@@ -11,7 +14,7 @@
 use crate::pool::UpstreamConnection;
 use crate::routes::LockCell;
 
-use super::{GatewaySettings, IdleConnections};
+use super::{GatewaySettings, IdleConnections, RefusalReason, RefusalWait};
 
 /// One process of an upstream: the record that it announced, what this instance observed of it, and the connections to
 /// it.
@@ -24,6 +27,7 @@
     /// One permit for each connection that this instance may use at once.
     pub(super) connection_permits: Semaphore,
     leaving_state: LockCell<LeavingState>,
+    rest_state: LockCell<RestState>,
     /// Whether the upstream was removed, or its address belongs to another one.
     is_removed: AtomicBool,
     /// Wakes attempts that wait for a connection when the upstream begins to leave or is removed.
@@ -39,6 +43,7 @@
             idle_connections: LockCell::default(),
             connection_permits: Semaphore::new(max_connections),
             leaving_state: LockCell::default(),
+            rest_state: LockCell::default(),
             is_removed: AtomicBool::new(false),
             state_changed: Notify::new(),
         }
@@ -63,13 +68,64 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Returns whether a request may be sent now: the upstream was not removed, and if it is leaving, `grace_period` has
-    /// not passed since this instance learned of that.
+    /// Records that the upstream said in an answer that it is leaving.
+    pub(super) fn record_leaving(&self, now: ClockTime) {
+        if !self
+            .leaving_state
+            .with(|state| state.record_announcement(now))
+        {
+            return;
+        }
+        metrics::counter!("anvilhub_upstream_announcements_total", "kind" => "leaving")
+            .increment(1);
+        info!(
+            upstream:% = self.record.id, service:% = self.record.service;
+            "upstream says that it is leaving"
+        );
+        self.state_changed.notify_waiters();
+    }
+
+    /// Records that the upstream asks to get no requests for this time.
+    pub(super) fn record_rest(&self, now: ClockTime, rest: Duration) {
+        let begins = self.rest_state.with(|state| state.record(now, rest));
+        if begins {
+            metrics::counter!("anvilhub_upstream_announcements_total", "kind" => "rest")
+                .increment(1);
+            info!(
+                upstream:% = self.record.id, service:% = self.record.service, rest_ms = rest.as_millis() as u64;
+                "upstream asks for a rest"
+            );
+        }
+        self.state_changed.notify_waiters();
+    }
+
+    /// Returns the time until the upstream may get requests again; zero if it is not resting.
+    pub(super) fn rest_left(&self, now: ClockTime) -> Duration {
+        self.rest_state.with(|state| state.time_left(now))
+    }
+
+    /// Returns when a request may be sent again and why none may now; `None` if neither a limit nor a rest is in the way.
+    /// `permit` is whether the upstream's limit has room.
+    pub(super) fn refusal_wait(&self, now: ClockTime, permit: SendPermit) -> Option<RefusalWait> {
+        let limit_wait = match permit {
+            SendPermit::Denied { wait } => wait,
+            SendPermit::Unlimited | SendPermit::Granted => Duration::ZERO,
+        };
+        let rest_left = self.rest_left(now);
+        let (time, reason) = match rest_left > limit_wait {
+            true => (rest_left, RefusalReason::Resting),
+            false => (limit_wait, RefusalReason::Limited),
+        };
+        (!time.is_zero()).then_some(RefusalWait { time, reason })
+    }
+
+    /// Returns whether a request may be sent now: the upstream was not removed and is not resting, and if it is leaving,
+    /// `grace_period` has not passed since this instance learned of that.
     pub(super) fn is_usable(&self, now: ClockTime, grace_period: Duration) -> bool {
         let is_staying = self
             .leaving_state
             .with(|state| state.is_usable(now, grace_period));
-        is_staying && !self.is_removed()
+        is_staying && !self.is_removed() && self.rest_left(now).is_zero()
     }
 
     /// Waits until no request may be sent any more.
@@ -123,6 +179,7 @@
             self.is_removed() || self.leaving_state.with(|state| state.is_last_resort());
         !is_busy
             && !is_leaving
+            && self.rest_left(now).is_zero()
             && self
                 .idle_connections
                 .with(|idle_connections| idle_connections.is_empty())
