Move own reads, reports of attempts and waits for upstreams to their types

OwnReads holds what this instance's reads of the platform showed, AttemptReport is in a file of its own, and a sub-request computes its own wait.

--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -5,7 +5,7 @@
 
 use anvilhub_coord::fleet::{
     ContactEstimate, DomainShares, FeedOutcome, FeedRole, FeedUpdate, FleetTable, MemberGossip,
-    MemberInfo, OwnReadRule, ReaderRule, RelayRule, SettlingRule,
+    MemberInfo, ReaderRule, RelayRule, SettlingRule,
 };
 use anvilhub_coord::ids::{Incarnation, InstanceId, PlatformPlace};
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
@@ -60,10 +60,10 @@
         };
         Arc::new(Self {
             clients: PeerClients::new(fleet.call_timeout),
+            feed: LockCell::new(FeedState::new(&fleet)),
             settings: fleet,
             clock,
             table: LockCell::new(FleetTable::new(own_info)),
-            feed: LockCell::default(),
             last_platform_answer_us: AtomicU64::new(0),
             is_platform_unreachable: AtomicBool::new(false),
             limits: LimitState::new(clock, settings.instance.clone()),
@@ -139,12 +139,9 @@
 
     /// Returns the time until this instance reads the platform itself unless a reader confirms its values before.
     pub(super) fn time_until_own_read(&self) -> Duration {
-        let not_before = self.feed.with(|feed| feed.own_read_not_before);
-        self.own_read_rule().time_until_due(
-            self.clock.now(),
-            self.last_platform_answer(),
-            not_before,
-        )
+        let (now, last_contact) = (self.clock.now(), self.last_platform_answer());
+        self.feed
+            .with(|feed| feed.own_reads.time_until_due(now, last_contact))
     }
 
     /// Returns whether the platform has answered recently, as far as this instance can prove it.
@@ -152,19 +149,6 @@
         !self.is_platform_unreachable() && self.platform_age() < self.settings.stale_after
     }
 
-    fn own_read_rule(&self) -> OwnReadRule {
-        OwnReadRule {
-            max_unconfirmed: self.settings.stale_after,
-        }
-    }
-
-    /// Returns the end of the pause that follows a failed read. It varies, so that instances that lost the platform
-    /// together do not read at the same time.
-    fn next_own_read(&self, now: ClockTime) -> ClockTime {
-        let pause = self.settings.max_read_backoff;
-        now + pause.mul_f64(rand::rng().random_range(0.5..=1.0))
-    }
-
     /// Chooses a reader of another failure domain to exchange member information with; `None` if none is known.
     pub(crate) fn choose_remote_reader(&self) -> Option<MemberInfo> {
         let now = self.clock.now();
@@ -248,11 +232,7 @@
         let now = self.clock.now();
         self.table
             .with(|table| table.mark_own_platform_unreachable(now));
-        self.feed.with(|feed| {
-            feed.last_outage = Some(now);
-            feed.last_own_read = None;
-            feed.own_read_not_before = Some(self.next_own_read(now));
-        });
+        self.feed.with(|feed| feed.record_read_failure(now));
         self.set_platform_unreachable(true);
         self.state_changed.notify_waiters();
     }
@@ -276,18 +256,7 @@
     pub(crate) fn record_platform_update(&self, update: FeedUpdate) -> FeedOutcome {
         let now = self.clock.now();
         let is_unchanged = self.is_feed_current() && update.records.is_empty();
-        let outcome = self.feed.with(|feed| {
-            let outcome = feed.apply(update);
-            match outcome {
-                FeedOutcome::Applied { .. } => {
-                    feed.last_own_read = Some(now);
-                    feed.own_read_not_before = None;
-                }
-                FeedOutcome::Outdated => feed.own_read_not_before = Some(self.next_own_read(now)),
-                FeedOutcome::NeedsFullRead => {}
-            }
-            outcome
-        });
+        let outcome = self.feed.with(|feed| feed.apply_own_read(now, update));
         if matches!(outcome, FeedOutcome::Applied { .. }) {
             self.last_platform_answer_us.store(now.0, Ordering::Release);
             self.set_platform_unreachable(false);
@@ -321,10 +290,9 @@
         let known_era = self.place().map(|place| place.era);
         let is_behind = answer.era.is_some_and(|era| Some(era) < known_era);
         let is_reader_current = !answer.is_platform_unreachable && is_fresh && !is_behind;
-        let last_own_read = self.feed.with(|feed| feed.last_own_read);
         // A reader that cannot reach a platform that this instance has just read is cut off from it.
         let is_cut_off =
-            !is_reader_current && self.own_read_rule().outweighs_others(now, last_own_read);
+            !is_reader_current && self.feed.with(|feed| feed.own_reads.outweigh_others(now));
         let last_outage = answer
             .outage_age_ms
             .filter(|_| !is_cut_off)
--- a/crates/anvilhubd/src/fleet/mod.rs
+++ b/crates/anvilhubd/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod follow_call;
 mod gossip_loop;
 mod limit_state;
+mod own_reads;
 mod platform_feed;
 mod reader_update;
 
@@ -31,6 +32,7 @@
 use follow_answer::FollowAnswer;
 use follow_call::FollowCall;
 use limit_state::LimitState;
+use own_reads::OwnReads;
 use reader_update::ReaderUpdate;
 
 /// Result of reading the platform.
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -10,24 +10,15 @@
 use tokio::time::sleep;
 
 use super::{
-    AttemptOutcome, AttemptRun, FanoutOutcome, FanoutPlan, ForwardedRequest, Gateway, RefusalWait,
-    RouteState, RunGuard, SendCause, SendGate, SubRequest, SubRequestOutcome, TrackedUpstream,
-    UpstreamAnswer,
+    AttemptOutcome, AttemptReport, AttemptRun, FanoutOutcome, FanoutPlan, ForwardedRequest,
+    Gateway, RefusalWait, RouteState, RunGuard, SendCause, SendGate, SubRequest, SubRequestOutcome,
+    TrackedUpstream, UpstreamAnswer,
 };
 
 /// Factor by which the expected latency of a sub-request must exceed the time until the cutoff for it to be skipped. It
 /// is greater than 1 because the expected latency is only approximate.
 const SKIP_FACTOR: u32 = 2;
 
-/// The outcome of an attempt.
-struct AttemptReport {
-    /// Index of the sub-request.
-    index: usize,
-    /// The gate of the attempt.
-    gate: Arc<SendGate>,
-    outcome: AttemptOutcome,
-}
-
 /// The upstream chosen for an attempt, with the properties by which candidates were compared.
 type UpstreamChoice = (Arc<TrackedUpstream>, RankedReplica);
 
@@ -146,34 +137,18 @@
 
     /// Returns when enough upstreams may get the request and why they may not now; `None` if enough of them may get it.
     fn refusal_wait(&mut self, now: ClockTime) -> Option<RefusalWait> {
-        let leaving_grace = self.gateway.settings.leaving_grace_period;
         let mut waits = Vec::new();
         for sub_request in &mut self.sub_requests {
             if sub_request.state == SubRequestState::Done {
                 continue;
             }
-            let group = sub_request.group.as_ref();
-            let upstreams = group.into_iter().flat_map(|group| &group.upstreams);
-            let staying = upstreams.filter(|upstream| !upstream.is_removed());
-            let blocked: Vec<Option<RefusalWait>> = staying
-                .filter(|upstream| {
-                    !upstream.rest_left(now).is_zero() || upstream.is_usable(now, leaving_grace)
-                })
-                .map(|upstream| {
-                    let permit = self.gateway.fleet.send_permit(now, &upstream.process);
-                    upstream.refusal_wait(now, permit)
-                })
-                .collect();
-            if blocked.contains(&None) {
-                // One of them may get it now.
+            let Some(wait) = sub_request.refusal_wait(&self.gateway, now) else {
                 continue;
+            };
+            if sub_request.send_count == 0 {
+                sub_request.outcome = SubRequestOutcome::Ended(wait.reason.name().to_owned());
             }
-            if let Some(wait) = blocked.into_iter().flatten().min_by_key(|wait| wait.time) {
-                if sub_request.send_count == 0 {
-                    sub_request.outcome = SubRequestOutcome::Ended(wait.reason.name().to_owned());
-                }
-                waits.push(wait);
-            }
+            waits.push(wait);
         }
         waits.sort_by_key(|wait| wait.time);
         let sendable_count = self.sub_requests.len() - waits.len();
--- a/crates/anvilhubd/src/gateway/mod.rs
+++ b/crates/anvilhubd/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer_metadata;
 mod attempt_guard;
 mod attempt_outcome;
+mod attempt_report;
 mod attempt_run;
 mod caller_watch;
 mod connection_warmer;
@@ -52,6 +53,7 @@
 
 use attempt_guard::AttemptGuard;
 use attempt_outcome::{AttemptOutcome, UpstreamAnswer};
+use attempt_report::AttemptReport;
 use attempt_run::AttemptRun;
 use caller_watch::CallerWatch;
 use connection_warmer::ConnectionWarmer;
--- a/crates/anvilhubd/src/gateway/sub_request.rs
+++ b/crates/anvilhubd/src/gateway/sub_request.rs
@@ -5,7 +5,7 @@
 use anvilhub_coord::time::ClockTime;
 use hyper::header::HeaderValue;
 
-use super::{ServiceGroup, SubRequestOutcome, TrackedUpstream};
+use super::{Gateway, RefusalWait, ServiceGroup, SubRequestOutcome, TrackedUpstream};
 
 /// The part of a request that is sent to one shard, or the whole of a request that is not gathered.
 pub(super) struct SubRequest {
@@ -49,6 +49,23 @@
             .any(|tried| std::ptr::eq(&**tried, upstream))
     }
 
+    /// Returns when one of the upstreams may get the sub-request and why none may now; `None` if one may get it now, or none
+    /// will because of limits and rests alone.
+    pub(super) fn refusal_wait(&self, gateway: &Gateway, now: ClockTime) -> Option<RefusalWait> {
+        let leaving_grace = gateway.settings.leaving_grace_period;
+        let group = self.group.as_ref()?;
+        let mut waits = Vec::new();
+        for upstream in &group.upstreams {
+            let permit = gateway.fleet.send_permit(now, &upstream.process);
+            match upstream.refusal_wait(now, permit) {
+                _ if !upstream.is_staying(now, leaving_grace) => {}
+                Some(wait) => waits.push(wait),
+                None => return None,
+            }
+        }
+        waits.into_iter().min_by_key(|wait| wait.time)
+    }
+
     /// Returns the id of the upstream of the last attempt; `None` before the first one.
     pub(super) fn last_upstream(&self) -> Option<&UpstreamId> {
         self.tried_upstreams
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -119,13 +119,18 @@
         (!time.is_zero()).then_some(RefusalWait { time, reason })
     }
 
-    /// Returns whether a request may be sent now: the upstream was not removed and is not resting, and if it is leaving,
-    /// `grace_period` has not passed since this instance learned of that.
+    /// Returns whether a request may be sent now: the upstream is staying and is not resting.
     pub(super) fn is_usable(&self, now: ClockTime, grace_period: Duration) -> bool {
-        let is_staying = self
+        self.is_staying(now, grace_period) && self.rest_left(now).is_zero()
+    }
+
+    /// Returns whether the upstream was not removed and, if it is leaving, `grace_period` has not passed since this instance
+    /// learned of that.
+    pub(super) fn is_staying(&self, now: ClockTime, grace_period: Duration) -> bool {
+        let is_in_time = self
             .leaving_state
             .with(|state| state.is_usable(now, grace_period));
-        is_staying && !self.is_removed() && self.rest_left(now).is_zero()
+        is_in_time && !self.is_removed()
     }
 
     /// Waits until no request may be sent any more.
