Do not call a gathered request "not run" that has run at a shard

What callers saw: a gathered request that some shards had answered and too many others refused got 503, which promises that it has not run.

Cause: a run remembered failed and lost attempts as having run, not answered ones.

Change: an answered attempt counts as having run. The caller gets 502, or 504 at the deadline.

Evidence: gathered_answers::partial_run_not_refused fails without the change (503 in 5 of 5 requests that a shard had answered) and passes with it.

Why it works: 503 now needs that no attempt passed its gate without a refusal.

--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -395,6 +395,8 @@
     }
 
     fn record_answer(&mut self, index: usize, answer: UpstreamAnswer) {
+        // A gathered request that fails for want of other shards has run at this one.
+        self.may_have_run = true;
         let sub_request = &mut self.sub_requests[index];
         sub_request.state = SubRequestState::Done;
         sub_request.hedge_at = None;
