Ignore timeouts of exchanges that were sent before a pause

What callers saw: 200 in place of 403 (`config_in_force::paused_request`): an instance that resumed after a pause answered under the sheet from before it. Cause: an exchange with a peer that is in flight when the process is paused times out when the process resumes, whether or not the peer answered. The timeout was handled after the resumption had reset what is known of the peers, so the only peer counted as silent before it was asked, and a stale platform alone was enough to confirm the old sheet. Answers to exchanges from before a pause were ignored already, timeouts of them were not. Change: `SheetInput::PeerSilent` and `PeerAbsent` carry the time at which the exchange was sent, and those from before the last pause change nothing. Measured: `platform_confirmation::timeout_of_pause_ignored` fails without the check and passes with it.

--- a/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_acceptor.rs
@@ -42,8 +42,8 @@
     has_learned: bool,
     /// Time of the last query to peers since the start or the last pause.
     queried_at: Option<ClockTime>,
-    /// Time of the start of the instance or of the end of its last pause. Answers to exchanges that were sent earlier
-    /// prove nothing.
+    /// Time of the start of the instance or of the end of its last pause. Answers to exchanges that were sent earlier,
+    /// and timeouts of them, prove nothing.
     pub(super) valid_from: ClockTime,
     /// Whether a peer or the platform has confirmed the sheet in force since `valid_from`.
     is_confirmed: bool,
@@ -152,11 +152,11 @@
             SheetInput::PeerMessage { message, sent_at } => {
                 self.record_message(now, &message, sent_at);
             }
-            SheetInput::PeerAbsent(peer) => {
-                self.record_unreachable(now, &peer, PeerContact::Absent);
+            SheetInput::PeerAbsent { peer, sent_at } => {
+                self.record_unreachable(now, &peer, sent_at, PeerContact::Absent);
             }
-            SheetInput::PeerSilent(peer) => {
-                self.record_unreachable(now, &peer, PeerContact::Silent);
+            SheetInput::PeerSilent { peer, sent_at } => {
+                self.record_unreachable(now, &peer, sent_at, PeerContact::Silent);
             }
             SheetInput::FetchAnswered { peer, reply } => {
                 self.apply_reply(now, peer, reply, &mut actions);
@@ -211,8 +211,18 @@
         }
     }
 
-    fn record_unreachable(&mut self, now: ClockTime, peer: &InstanceId, contact: PeerContact) {
-        self.peers.record_contact(peer, contact);
+    fn record_unreachable(
+        &mut self,
+        now: ClockTime,
+        peer: &InstanceId,
+        sent_at: ClockTime,
+        contact: PeerContact,
+    ) {
+        // An exchange that was in flight during a pause of this process times out when the process resumes, whether or
+        // not the peer answered.
+        if sent_at >= self.valid_from {
+            self.peers.record_contact(peer, contact);
+        }
         self.record_failed_fetch(now, peer);
     }
 
--- a/crates/anvilhub-coord/src/configuration/sheet_input.rs
+++ b/crates/anvilhub-coord/src/configuration/sheet_input.rs
@@ -29,9 +29,19 @@
         sent_at: Option<ClockTime>,
     },
     /// A peer's address refused a connection, so no process of the peer is running.
-    PeerAbsent(InstanceId),
+    PeerAbsent {
+        /// Peer that was called.
+        peer: InstanceId,
+        /// Time at which the exchange was sent.
+        sent_at: ClockTime,
+    },
     /// An exchange with a peer timed out.
-    PeerSilent(InstanceId),
+    PeerSilent {
+        /// Peer that was called.
+        peer: InstanceId,
+        /// Time at which the exchange was sent.
+        sent_at: ClockTime,
+    },
     /// A peer answered a fetch.
     FetchAnswered {
         /// Peer that answered.
--- a/crates/anvilhub-coord/tests/fleet_simulation.rs
+++ b/crates/anvilhub-coord/tests/fleet_simulation.rs
@@ -260,10 +260,11 @@
             return;
         }
         let is_partitioned = self.partitions.contains(&(from.clone(), to.clone()));
+        let (peer, sent_at) = (to.clone(), self.now);
         let failure = match self.processes.get(to) {
-            _ if is_partitioned => Some(SheetInput::PeerSilent(to.clone())),
-            None => Some(SheetInput::PeerAbsent(to.clone())),
-            Some(process) if process.is_paused => Some(SheetInput::PeerSilent(to.clone())),
+            _ if is_partitioned => Some(SheetInput::PeerSilent { peer, sent_at }),
+            None => Some(SheetInput::PeerAbsent { peer, sent_at }),
+            Some(process) if process.is_paused => Some(SheetInput::PeerSilent { peer, sent_at }),
             Some(_) => None,
         };
         if let Some(failure) = failure {
--- a/crates/anvilhub-coord/tests/platform_confirmation.rs
+++ b/crates/anvilhub-coord/tests/platform_confirmation.rs
@@ -56,6 +56,12 @@
     acceptor
 }
 
+/// Returns the timeout of an exchange with the peer that was sent at `sent_at`.
+fn silent_peer(sent_at: ClockTime) -> SheetInput {
+    let peer = id("b");
+    SheetInput::PeerSilent { peer, sent_at }
+}
+
 #[test]
 fn peers_queried_first() {
     let mut acceptor = resumed_acceptor();
@@ -71,8 +77,21 @@
     let mut acceptor = resumed_acceptor();
     acceptor.handle(at(10_001), platform_value(at(10_001)));
 
-    acceptor.handle(at(11_000), SheetInput::PeerSilent(id("b")));
+    acceptor.handle(at(11_000), silent_peer(at(10_000)));
     acceptor.handle(at(11_000) + Duration::from_millis(1), SheetInput::Tick);
 
     assert!(acceptor.is_ready());
 }
+
+/// An exchange that was in flight when the process was paused times out at the resumption. This counted as silence of
+/// the peer, so that a stale platform confirmed an old sheet before the peer was asked.
+#[test]
+fn timeout_of_pause_ignored() {
+    let mut acceptor = resumed_acceptor();
+
+    acceptor.handle(at(10_001), silent_peer(at(9_000)));
+    acceptor.handle(at(10_002), platform_value(at(10_002)));
+    acceptor.handle(at(10_003), SheetInput::Tick);
+
+    assert!(!acceptor.is_ready(), "the peer may have a newer sheet");
+}
--- a/crates/anvilhubd/src/controllers/peer_exchange.rs
+++ b/crates/anvilhubd/src/controllers/peer_exchange.rs
@@ -2,6 +2,7 @@
 
 use anvilhub_coord::configuration::{FetchRequest, SheetInput};
 use anvilhub_coord::ids::InstanceId;
+use anvilhub_coord::time::ClockTime;
 use jsonrpsee::core::client::Client;
 use log::debug;
 use metrics::counter;
@@ -54,7 +55,7 @@
         .await
     {
         Ok(message) => context.record_peer_message(message, Some(sent_at)),
-        Err(error) => record_failure(context, peer, &error),
+        Err(error) => record_failure(context, peer, sent_at, &error),
     }
 }
 
@@ -76,7 +77,7 @@
     context.configuration.queue_input(input);
 }
 
-fn record_failure(context: &EntryContext, peer: InstanceId, error: &PeerError) {
+fn record_failure(context: &EntryContext, peer: InstanceId, sent_at: ClockTime, error: &PeerError) {
     counter!("anvilhub_exchange_failures_total").increment(1);
     debug!(peer:% = peer; "exchange failed: {error}");
     let now = context.clock.now();
@@ -85,13 +86,13 @@
             context.members().record_refusal(&peer, now);
             context
                 .configuration
-                .queue_input(SheetInput::PeerAbsent(peer));
+                .queue_input(SheetInput::PeerAbsent { peer, sent_at });
         }
         PeerError::Silent { .. } | PeerError::Failed { .. } => {
             context.members().record_timeout(&peer, now);
             context
                 .configuration
-                .queue_input(SheetInput::PeerSilent(peer));
+                .queue_input(SheetInput::PeerSilent { peer, sent_at });
         }
     }
 }
