Do not let a delayed message of a peer take back what a newer one said

What callers saw: 200 in place of 403 (`config_in_force::paused_request`): an instance that resumed after a pause served a request under the old sheet. Cause: messages of a peer that waited in the sockets of the paused process were handled together with the answers to the new queries, in any order. A message with the old sheet, handled after the answer with the new one, replaced it: the peer then counted as ready with the old sheet, which confirmed that sheet. Traced in the acceptor's inputs of failed runs: message with version 2, answer with version 2, message with version 1, confirmed 1 ms later. Change: within one incarnation of a peer the stamp of its sheet in force only rises; a new incarnation starts anew. Ruled out as the only cause: timeouts of exchanges from before the pause: with that change alone the test still failed. `platform_confirmation::delayed_message_ignored` fails without it.

--- a/crates/anvilhub-coord/src/configuration/peer_report.rs
+++ b/crates/anvilhub-coord/src/configuration/peer_report.rs
@@ -1,3 +1,4 @@
+use crate::ids::Incarnation;
 use crate::sheet::SheetStamp;
 use crate::time::ClockTime;
 
@@ -7,6 +8,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeerReport {
     pub(crate) contact: PeerContact,
+    /// Incarnation of the process that sent the last message.
+    pub(crate) incarnation: Option<Incarnation>,
     pub(crate) stage: Option<PeerStage>,
     /// Stamp of the sheet that the peer has in force.
     pub(crate) accepted: Option<SheetStamp>,
@@ -19,6 +22,20 @@
 }
 
 impl PeerReport {
+    /// Records the sheet that a process of the peer has in force. The stamp of a process only rises, so a lower one comes
+    /// from a message that was delayed, for example while this process was paused.
+    pub(crate) fn record_accepted(
+        &mut self,
+        incarnation: Incarnation,
+        accepted: Option<SheetStamp>,
+    ) {
+        let is_same_process = self.incarnation.replace(incarnation) == Some(incarnation);
+        self.accepted = match is_same_process {
+            true => self.accepted.max(accepted),
+            false => accepted,
+        };
+    }
+
     /// Returns whether the peer has a confirmed sheet in force.
     pub(crate) fn is_ready(&self) -> bool {
         let is_confirmed = matches!(self.stage, Some(PeerStage::Ready | PeerStage::Draining));
--- a/crates/anvilhub-coord/src/configuration/peer_table.rs
+++ b/crates/anvilhub-coord/src/configuration/peer_table.rs
@@ -55,7 +55,7 @@
     ) {
         let report = self.report_mut(&message.sender.instance);
         report.stage = Some(message.stage);
-        report.accepted = message.accepted;
+        report.record_accepted(message.sender.incarnation, message.accepted);
         report.candidate = message.candidate;
         report.last_message_at = now;
         report.contact = match report.contact {
--- a/crates/anvilhub-coord/tests/platform_confirmation.rs
+++ b/crates/anvilhub-coord/tests/platform_confirmation.rs
@@ -6,6 +6,7 @@
     AcceptorSettings, ExchangeMessage, PeerIdentity, PeerStage, SheetAcceptor, SheetInput,
 };
 use anvilhub_coord::ids::{Incarnation, PlatformRevision};
+use anvilhub_coord::sheet::CheckedSheet;
 use anvilhub_coord::time::ClockTime;
 
 use crate::fleet_simulation::{id, sheet};
@@ -95,3 +96,32 @@
 
     assert!(!acceptor.is_ready(), "the peer may have a newer sheet");
 }
+
+/// Returns a message of the peer, which is ready with this version of the sheet. `sent_at` is the time at which the
+/// exchange was sent that it answers, `None` if the peer started the exchange.
+fn peer_message(version: u64, sent_at: Option<ClockTime>) -> SheetInput {
+    let checked =
+        CheckedSheet::from_bytes(&sheet(version, 1, &["desk"])).expect("the sheet is valid");
+    let accepted = checked.adopt(PlatformRevision(version)).stamp();
+    let message = ExchangeMessage {
+        sender: identity("b"),
+        stage: PeerStage::Ready,
+        accepted: Some(accepted),
+        candidate: None,
+        draining: Vec::new(),
+    };
+    SheetInput::PeerMessage { message, sent_at }
+}
+
+/// A message that the peer sent before a pause of this process arrives after a newer one. It made the peer look as if it
+/// still had the old sheet, so that the old sheet was confirmed.
+#[test]
+fn delayed_message_ignored() {
+    let mut acceptor = resumed_acceptor();
+    acceptor.handle(at(10_001), platform_value(at(10_001)));
+
+    acceptor.handle(at(10_002), peer_message(2, Some(at(10_001))));
+    acceptor.handle(at(10_003), peer_message(1, None));
+
+    assert!(!acceptor.is_ready(), "the peer has a newer sheet");
+}
