Evacuate failure domains on the operator's order

Cause: The operator could not stop traffic to the upstreams of one failure domain. The key `op/evacuate/ZONE` of the store had no effect.

Change: `StoreMirror` keeps the set of evacuated domains from the keys and passes it on with `Gateway::adopt_evacuations`, before the list of upstreams of the same update. All `TrackedUpstream`s of a domain share one `DomainState`, so an order holds for upstreams that are found later, and no thread that tracks one at that moment can miss it. An evacuated upstream is not usable: it is no candidate, is checked again before a send, and gets no connections ahead of need. Attempts that wait there are woken once the list of the same update is adopted.

Requests whose only copies are evacuated are refused at once with reason `evacuated`. The expected wait is the age of the order, 1 to 30 s. A shard without any upstream no longer counts as sendable when the reason of a refusal is chosen; such a request was called `not_run`, with a wait of 60 ms.

A relay that is cut off from the store does not know new orders. Relayed requests name the orders that are older than a second in `x-relay-evacuated`, and a relay that lacks one declines.

--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -13,6 +13,7 @@
 mod contact_estimate;
 mod departed_upstreams;
 mod ejection_policy;
+mod evacuation_state;
 mod feed_log;
 mod fleet_simulation;
 mod gather_cutoff;
--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -25,7 +25,7 @@
     NotSent { reason: String },
     /// The request was not sent, because the run that it belongs to has ended.
     Withdrawn,
-    /// The request was not sent, because the upstream was removed, is leaving or rests.
+    /// The request was not sent, because the upstream was removed, is leaving, rests or is evacuated.
     Unsuitable,
     /// The request was sent and may have run: there is no usable answer, for this reason.
     Unknown { kind: FailureKind, reason: String },
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -78,6 +78,9 @@
                 guard.record_failure(FailureKind::Unconnected);
             }
             AttemptOutcome::Withdrawn | AttemptOutcome::Unsuitable => {
+                if matches!(outcome, AttemptOutcome::Unsuitable) && self.upstream.is_evacuated() {
+                    metrics::counter!("anvilhub_evacuation_withheld_total").increment(1);
+                }
                 self.gateway
                     .fleet
                     .limits
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -98,7 +98,12 @@
                 (false, Some(choice)) => {
                     self.send_to(index, SendCause::First, choice);
                 }
-                (false, None) => {}
+                (false, None) => {
+                    let sub_request = &mut self.sub_requests[index];
+                    if let Some(wait) = sub_request.refusal_wait(&self.gateway, now) {
+                        sub_request.record_refusal(wait.reason);
+                    }
+                }
             }
         }
         loop {
@@ -138,26 +143,32 @@
     /// Returns when enough upstreams may get the request and why they may not now; `None` if enough of them may get it.
     fn refusal_wait(&mut self, now: ClockTime) -> Option<RefusalWait> {
         let mut waits = Vec::new();
+        // Sub-requests whose services have no upstream in use; no wait helps them.
+        let mut unavailable_count = 0;
         for sub_request in &mut self.sub_requests {
             if sub_request.state == SubRequestState::Done {
                 continue;
             }
             let Some(wait) = sub_request.refusal_wait(&self.gateway, now) else {
+                if !sub_request.has_staying_upstream(&self.gateway, now) {
+                    unavailable_count += 1;
+                }
                 continue;
             };
-            if sub_request.send_count == 0 {
-                sub_request.outcome = SubRequestOutcome::Ended(wait.reason.name().to_owned());
-            }
+            sub_request.record_refusal(wait.reason);
             waits.push(wait);
         }
         waits.sort_by_key(|wait| wait.time);
-        let sendable_count = self.sub_requests.len() - waits.len();
+        let sendable_count = self.sub_requests.len() - waits.len() - unavailable_count;
         let missing_count = self
             .plan
             .cutoff
             .min_sub_requests
             .saturating_sub(sendable_count);
-        waits.get(missing_count.checked_sub(1)?).copied()
+        let last_index = waits.len().checked_sub(1)?;
+        waits
+            .get(missing_count.checked_sub(1)?.min(last_index))
+            .copied()
     }
 
     /// Returns the indexes of the sub-requests that are not sent because their answers are expected too late. Enough
@@ -370,7 +381,7 @@
             AttemptOutcome::Unsuitable => {
                 sub_request.send_count -= 1;
                 sub_request.outcome = SubRequestOutcome::Ended(
-                    "the upstream is leaving, rests or was removed".to_owned(),
+                    "the upstream is leaving, rests, is evacuated or was removed".to_owned(),
                 );
                 (true, SendCause::Resend)
             }
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -1,11 +1,11 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{RouteCatalog, TimerLag, UpstreamRecord};
-use anvilhub_coord::ids::{ServiceName, SheetVersion};
+use anvilhub_coord::ids::{FailureDomain, ServiceName, SheetVersion};
 use anvilhub_coord::routing::RetryBudget;
 use anvilhub_coord::time::ClockTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -19,8 +19,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable, StopDeadline,
-    TrackedUpstream, UpstreamTable,
+    DomainTable, GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable,
+    StopDeadline, TrackedUpstream, UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -47,10 +47,12 @@
     pub(super) table: ArcSwapOption<ServingTable>,
     /// The tracked upstreams, from which requests choose.
     pub(super) groups: ArcSwap<GroupMap>,
-    /// Number of times that `groups` was replaced.
+    /// Number of times that `groups` was replaced. It is also replaced after a change of the evacuated domains.
     groups_generation: AtomicU64,
     /// The upstreams in use, from which `groups` are rebuilt.
     upstreams: LockCell<UpstreamTable>,
+    /// What the operator has ordered for each failure domain.
+    pub(super) domains: DomainTable,
     retry_budgets: LockCell<HashMap<ServiceName, Arc<LockCell<RetryBudget>>>>,
     /// Whether a list of upstreams has been received since the start.
     has_upstream_list: AtomicBool,
@@ -82,6 +84,7 @@
             groups: ArcSwap::default(),
             groups_generation: AtomicU64::new(0),
             upstreams: LockCell::default(),
+            domains: DomainTable::default(),
             retry_budgets: LockCell::default(),
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
@@ -110,6 +113,15 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Makes `evacuated` the set of failure domains whose upstreams get no requests. Must be followed by
+    /// `adopt_upstreams` with the list of the same update: it wakes the attempts that wait at evacuated upstreams once the
+    /// upstreams that may replace these are known. Upstreams of that list are never used if their domain is evacuated.
+    pub fn adopt_evacuations(&self, evacuated: &BTreeSet<FailureDomain>) {
+        let (now, platform_age) = (self.clock.now(), self.fleet.platform_age());
+        metrics::gauge!("anvilhub_evacuated_domains").set(evacuated.len() as f64);
+        self.domains.adopt_evacuations(now, platform_age, evacuated);
+    }
+
     /// Replaces the list of upstreams by `records`, the complete list of the platform.
     pub fn adopt_upstreams(&self, records: Vec<UpstreamRecord>) {
         let now = self.clock.now();
@@ -118,6 +130,7 @@
             upstreams.drop_removed(now);
         });
         self.rebuild_groups();
+        self.domains.wake_attempts();
         // Set after the groups are stored: a request that finds this instance ready must find its upstreams.
         self.has_upstream_list.store(true, Ordering::Release);
         self.state_changed.notify_waiters();
@@ -217,8 +230,8 @@
         }
     }
 
-    /// Returns in which failure domains `shards` have upstreams. The shares are computed again only after the
-    /// upstreams or the configuration have changed; `state` and `version` are those of the route.
+    /// Returns in which failure domains `shards` have upstreams that are not evacuated. The shares are computed again only
+    /// after the upstreams, their orders or the configuration have changed; `state` and `version` are those of the route.
     pub(super) fn domain_shares(
         &self,
         state: &RouteState,
@@ -232,6 +245,7 @@
                 let upstreams = groups.get(service).into_iter();
                 upstreams
                     .flat_map(|group| &group.upstreams)
+                    .filter(|upstream| !upstream.is_evacuated())
                     .map(|upstream| &upstream.record.failure_domain)
             }))
         })
@@ -315,6 +329,7 @@
         Arc::new(TrackedUpstream::new(
             record.clone(),
             connection_share.max(MIN_CONNECTION_SHARE),
+            self.domains.state(&record.failure_domain),
         ))
     }
 
--- a/crates/anvilhubd/src/gateway/refusal_wait.rs
+++ b/crates/anvilhubd/src/gateway/refusal_wait.rs
@@ -7,6 +7,8 @@
     Limited,
     /// They have asked for a rest.
     Resting,
+    /// Their failure domains are evacuated.
+    Evacuated,
 }
 
 impl RefusalReason {
@@ -15,6 +17,7 @@
         match self {
             Self::Limited => "limited",
             Self::Resting => "resting",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/anvilhubd/src/gateway/relay_handler.rs
+++ b/crates/anvilhubd/src/gateway/relay_handler.rs
@@ -7,7 +7,7 @@
 
 use crate::caller::HttpHandler;
 
-use super::{Gateway, GatewayHandler, RelayHeaders};
+use super::{Gateway, GatewayHandler, RelayHeaders, RelayOrders};
 
 /// Answers requests that another instance relays to this one.
 pub(super) struct RelayHandler {
@@ -34,6 +34,7 @@
 
 impl HttpHandler for RelayHandler {
     async fn handle(&self, mut request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let orders = RelayOrders::take(request.headers_mut());
         let Some(relay_headers) = RelayHeaders::take(request.headers_mut()) else {
             return decline_relay("incomplete head");
         };
@@ -43,6 +44,9 @@
         if self.gateway.ready_table().is_none() {
             return decline_relay("no configuration");
         }
+        if !orders.are_known(&self.gateway.domains) {
+            return decline_relay("unknown evacuation");
+        }
         self.handler
             .answer_and_log(request, Some(relay_headers))
             .await
--- a/crates/anvilhubd/src/gateway/relay_run.rs
+++ b/crates/anvilhubd/src/gateway/relay_run.rs
@@ -10,7 +10,7 @@
 
 use crate::pool::{PoolError, UpstreamConnection};
 
-use super::{ForwardedRequest, Gateway, RelayHeaders};
+use super::{ForwardedRequest, Gateway, RelayHeaders, RelayOrders};
 
 /// Maximum time for connecting to a relay and receiving its greeting. Covers several round trips between failure
 /// domains and the time for which a relay may be busy. After that it is faster to gather the answer on this instance.
@@ -76,13 +76,16 @@
                 return self.record_unreachable(relay, &reason);
             }
         };
-        let waited = self.gateway.clock.now().since(self.arrived_at);
+        let now = self.gateway.clock.now();
+        let waited = now.since(self.arrived_at);
+        let orders = RelayOrders::collect(now, &self.gateway.domains);
         let request = self.request.to_request(|headers| {
             let relay_headers = RelayHeaders {
                 waited,
                 ..self.relay_headers
             };
             relay_headers.write(headers);
+            orders.write(headers);
         });
         let limit = self.gateway.settings.max_answer_size;
         let answer = connection.send(request, limit, || {});
--- a/crates/anvilhubd/src/gateway/sub_request.rs
+++ b/crates/anvilhubd/src/gateway/sub_request.rs
@@ -5,7 +5,9 @@
 use anvilhub_coord::time::ClockTime;
 use hyper::header::HeaderValue;
 
-use super::{Gateway, RefusalWait, ServiceGroup, SubRequestOutcome, TrackedUpstream};
+use super::{
+    Gateway, RefusalReason, RefusalWait, ServiceGroup, SubRequestOutcome, TrackedUpstream,
+};
 
 /// The part of a request that is sent to one shard, or the whole of a request that is not gathered.
 pub(super) struct SubRequest {
@@ -50,7 +52,7 @@
     }
 
     /// Returns when one of the upstreams may get the sub-request and why none may now; `None` if one may get it now, or none
-    /// will because of limits and rests alone.
+    /// will because of limits, rests and evacuations alone.
     pub(super) fn refusal_wait(&self, gateway: &Gateway, now: ClockTime) -> Option<RefusalWait> {
         let leaving_grace = gateway.settings.leaving_grace_period;
         let group = self.group.as_ref()?;
@@ -66,6 +68,26 @@
         waits.into_iter().min_by_key(|wait| wait.time)
     }
 
+    /// Returns whether an upstream of the service has neither left nor is about to.
+    pub(super) fn has_staying_upstream(&self, gateway: &Gateway, now: ClockTime) -> bool {
+        let leaving_grace = gateway.settings.leaving_grace_period;
+        let mut upstreams = self.group.iter().flat_map(|group| &group.upstreams);
+        upstreams.any(|upstream| upstream.is_staying(now, leaving_grace))
+    }
+
+    /// Records why the sub-request is not sent, unless it was sent before. Counts it if that is an evacuation.
+    pub(super) fn record_refusal(&mut self, reason: RefusalReason) {
+        let outcome = SubRequestOutcome::Ended(reason.name().to_owned());
+        if self.send_count > 0 || self.outcome == outcome {
+            return;
+        }
+        self.outcome = outcome;
+        // An attempt that was made and not sent was counted when it ended.
+        if reason == RefusalReason::Evacuated && self.tried_upstreams.is_empty() {
+            metrics::counter!("anvilhub_evacuation_withheld_total").increment(1);
+        }
+    }
+
     /// Returns the id of the upstream of the last attempt; `None` before the first one.
     pub(super) fn last_upstream(&self) -> Option<&UpstreamId> {
         self.tried_upstreams
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use crate::pool::UpstreamConnection;
 use crate::routes::LockCell;
 
-use super::{GatewaySettings, IdleConnections, RefusalReason, RefusalWait};
+use super::{DomainState, GatewaySettings, IdleConnections, RefusalReason, RefusalWait};
 
 /// One process of an upstream: the record that it announced, what this instance observed of it, and the connections to
 /// it.
@@ -28,6 +29,8 @@
     pub(super) connection_permits: Semaphore,
     leaving_state: LockCell<LeavingState>,
     rest_state: LockCell<RestState>,
+    /// What the operator has ordered for its failure domain.
+    domain_state: Arc<DomainState>,
     /// Whether the upstream was removed, or its address belongs to another one.
     is_removed: AtomicBool,
     /// Wakes attempts that wait for a connection when the upstream begins to leave or is removed.
@@ -35,7 +38,11 @@
 }
 
 impl TrackedUpstream {
-    pub(super) fn new(record: UpstreamRecord, max_connections: usize) -> Self {
+    pub(super) fn new(
+        record: UpstreamRecord,
+        max_connections: usize,
+        domain_state: Arc<DomainState>,
+    ) -> Self {
         Self {
             process: record.process(),
             record,
@@ -44,6 +51,7 @@
             connection_permits: Semaphore::new(max_connections),
             leaving_state: LockCell::default(),
             rest_state: LockCell::default(),
+            domain_state,
             is_removed: AtomicBool::new(false),
             state_changed: Notify::new(),
         }
@@ -104,24 +112,35 @@
         self.rest_state.with(|state| state.time_left(now))
     }
 
-    /// Returns when a request may be sent again and why none may now; `None` if neither a limit nor a rest is in the way.
+    /// Returns whether the operator has ordered that the upstreams of its failure domain get no requests.
+    pub(super) fn is_evacuated(&self) -> bool {
+        self.domain_state.is_evacuated()
+    }
+
+    /// Returns when a request may be sent again and why none may now; `None` if no limit, rest or evacuation is in the way.
     /// `permit` is whether the upstream's limit has room.
     pub(super) fn refusal_wait(&self, now: ClockTime, permit: SendPermit) -> Option<RefusalWait> {
         let limit_wait = match permit {
             SendPermit::Denied { wait } => wait,
             SendPermit::Unlimited | SendPermit::Granted => Duration::ZERO,
         };
-        let rest_left = self.rest_left(now);
-        let (time, reason) = match rest_left > limit_wait {
-            true => (rest_left, RefusalReason::Resting),
-            false => (limit_wait, RefusalReason::Limited),
-        };
-        (!time.is_zero()).then_some(RefusalWait { time, reason })
+        let waits = [
+            (limit_wait, RefusalReason::Limited),
+            (self.rest_left(now), RefusalReason::Resting),
+            (
+                self.domain_state.expected_wait(now),
+                RefusalReason::Evacuated,
+            ),
+        ];
+        let longest = waits.into_iter().max_by_key(|(time, _)| *time);
+        longest
+            .filter(|(time, _)| !time.is_zero())
+            .map(|(time, reason)| RefusalWait { time, reason })
     }
 
-    /// Returns whether a request may be sent now: the upstream is staying and is not resting.
+    /// Returns whether a request may be sent now: the upstream is staying, is not resting and is not evacuated.
     pub(super) fn is_usable(&self, now: ClockTime, grace_period: Duration) -> bool {
-        self.is_staying(now, grace_period) && self.rest_left(now).is_zero()
+        self.is_staying(now, grace_period) && self.rest_left(now).is_zero() && !self.is_evacuated()
     }
 
     /// Returns whether the upstream was not removed and, if it is leaving, `grace_period` has not passed since this instance
@@ -137,6 +156,7 @@
     pub(super) async fn wait_unusable(&self, clock: DaemonClock, grace_period: Duration) {
         loop {
             let changed = self.state_changed.notified();
+            let woken = self.domain_state.woken();
             let now = clock.now();
             if !self.is_usable(now, grace_period) {
                 return;
@@ -145,8 +165,14 @@
                 .leaving_state
                 .with(|state| state.usable_until(grace_period));
             let time_left = end.map_or(Duration::MAX, |end| end.since(now));
+            let any_change = async {
+                tokio::select! {
+                    () = changed => {}
+                    () = woken => {}
+                }
+            };
             // Both a change and the end of the time are reasons to look again.
-            let _ = timeout(time_left, changed).await;
+            let _ = timeout(time_left, any_change).await;
         }
     }
 
@@ -175,7 +201,7 @@
     }
 
     /// Returns whether a connection should be opened in advance: there is no idle one, no attempt is in flight, and the
-    /// upstream is neither leaving nor in a cooldown.
+    /// upstream is neither leaving, in a cooldown, resting nor evacuated.
     pub(super) fn needs_connection(&self, now: ClockTime) -> bool {
         let is_busy = self
             .stats
@@ -184,6 +210,7 @@
             self.is_removed() || self.leaving_state.with(|state| state.is_last_resort());
         !is_busy
             && !is_leaving
+            && !self.is_evacuated()
             && self.rest_left(now).is_zero()
             && self
                 .idle_connections
