Keep requests to cold upstreams under a bound over all instances

Cause: an upstream that is warming up tolerates `cold_per_s` requests a second and fails well above that, but got as many requests as a warm one. What it states about its warm-up was decoded and not used.

The number of requests a second, `cold_per_s` or half of the bound if that is less, is divided into whole shares by the rendezvous order of `LimitSharers`. Each instance keeps its share in a sliding window of 1.1 s (`ColdWindow`), which is looked at when a request is placed and again when it is sent. Members that fell silent keep their shares for 60 s, and an instance that has not known another one for 4 s has none. A cold upstream counts as a limited one, so warm ones are preferred, hedges avoid it, and what has no room is refused with `limited`. After the warm-up the limit doubles each second for 4 s. Without the settings nothing is changed.

--- a/crates/anvilhub-coord/src/fleet/fleet_table.rs
+++ b/crates/anvilhub-coord/src/fleet/fleet_table.rs
@@ -4,7 +4,7 @@
 use crate::ids::{FailureDomain, InstanceId};
 use crate::time::ClockTime;
 
-use super::{MemberGossip, MemberInfo, RelayRule};
+use super::{MemberGossip, MemberInfo, RelayRule, SilentMembers};
 
 /// Maximum number of members kept per failure domain. Only the largest ones are followed or used as relays, and every
 /// exchange carries all that are kept.
@@ -18,6 +18,10 @@
 const MAX_LOCAL_RELAY_AGE: Duration = Duration::from_millis(1_750);
 /// Age from which a member's information is dropped.
 const MAX_INFO_AGE: Duration = Duration::from_secs(12);
+/// Time for which an instance must have known another member before it shares the limit of a cold upstream. Until then
+/// the others may not have heard of it, and would not have made room: information takes up to three exchanges of one
+/// second each to arrive, and shares are computed five times a second.
+const COLD_SETTLING_TIME: Duration = Duration::from_secs(4);
 /// How long a member that did not answer stays suspect and is neither followed nor used as a relay.
 const SUSPECT_DURATION: Duration = Duration::from_secs(1);
 /// How long an instance that could not reach the platform is not considered as a reader.
@@ -34,6 +38,10 @@
     /// End of the time in which this instance is assumed not to reach the platform.
     own_platform_cooldown_until: Option<ClockTime>,
     members: BTreeMap<InstanceId, FleetMember>,
+    /// Members whose information was dropped because nothing was heard of them.
+    silent: SilentMembers,
+    /// Since when another member has been known without interruption; `None` if none is.
+    others_known_since: Option<ClockTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -54,6 +62,8 @@
             own_info,
             own_platform_cooldown_until: None,
             members: BTreeMap::new(),
+            silent: SilentMembers::default(),
+            others_known_since: None,
         }
     }
 
@@ -75,6 +85,8 @@
             return;
         }
         let sent_at = now - age;
+        self.others_known_since.get_or_insert(now);
+        self.silent.record_news(&gossip.info.instance);
         let known = self.members.get_mut(&gossip.info.instance);
         match known {
             Some(member) if member.sent_at >= sent_at => {}
@@ -184,6 +196,22 @@
         ranked.into_iter().map(|info| &info.instance).collect()
     }
 
+    /// Returns the instances that share the limits of cold upstreams: those that share other limits, and those that did so
+    /// until they fell silent within the last minute. None do until this instance has known another member for
+    /// `COLD_SETTLING_TIME`; `is_lone` is whether it is to find no other member.
+    pub fn cold_sharers(&self, now: ClockTime, is_lone: bool) -> Vec<&InstanceId> {
+        let is_settled = self
+            .others_known_since
+            .is_some_and(|since| now.since(since) >= COLD_SETTLING_TIME);
+        if !is_settled && !is_lone {
+            return Vec::new();
+        }
+        let mut sharers = self.limit_sharers(now);
+        let silent = self.silent.members(now);
+        sharers.extend(silent.map(|info| &info.instance));
+        sharers
+    }
+
     fn usable_records(&self, now: ClockTime) -> impl Iterator<Item = &FleetMember> {
         self.members.values().filter(move |member| {
             let is_suspect = member.suspect_until.is_some_and(|until| now < until);
@@ -194,8 +222,7 @@
     /// Drops outdated members and returns the information to send to another instance: first that about this instance,
     /// then that about the other members.
     pub fn collect_gossip(&mut self, now: ClockTime) -> Vec<MemberGossip> {
-        self.members
-            .retain(|_, member| now.since(member.sent_at) < MAX_INFO_AGE);
+        self.drop_outdated(now);
         let own = MemberGossip {
             info: self.own_info.clone(),
             age_ms: 0,
@@ -207,6 +234,33 @@
         std::iter::once(own).chain(members).collect()
     }
 
+    /// Drops outdated members. Those that may still send are remembered for a while.
+    fn drop_outdated(&mut self, now: ClockTime) {
+        let is_outdated =
+            |_: &InstanceId, member: &mut FleetMember| now.since(member.sent_at) >= MAX_INFO_AGE;
+        let outdated: Vec<FleetMember> = self
+            .members
+            .extract_if(.., is_outdated)
+            .map(|(_, member)| member)
+            .collect();
+        if self.members.is_empty() {
+            self.others_known_since = None;
+        }
+        let own_cores = self.own_info.cores.get();
+        let max_cores = self
+            .members
+            .values()
+            .map(|member| member.info.cores.get())
+            .fold(own_cores, f64::max);
+        let min_size_ratio = RelayRule::default().min_size_ratio;
+        for member in outdated {
+            if member.info.cores.get() * min_size_ratio > max_cores {
+                self.silent.record_silence(member.info, member.sent_at);
+            }
+        }
+        self.silent.forget_old(now);
+    }
+
     /// Drops the smallest members of each failure domain that has too many.
     fn drop_smallest(&mut self) {
         let mut ranked: Vec<&MemberInfo> =
--- a/crates/anvilhub-coord/src/fleet/mod.rs
+++ b/crates/anvilhub-coord/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod reader_rule;
 mod relay_rule;
 mod settling_rule;
+mod silent_members;
 
 pub use contact_estimate::ContactEstimate;
 pub use cpu_cores::CpuCores;
@@ -32,3 +33,4 @@
 pub use reader_rule::ReaderRule;
 pub use relay_rule::RelayRule;
 pub use settling_rule::SettlingRule;
+pub use silent_members::SilentMembers;
--- a/crates/anvilhub-coord/src/gateway/route_catalog.rs
+++ b/crates/anvilhub-coord/src/gateway/route_catalog.rs
@@ -2,13 +2,18 @@
 use std::time::Duration;
 
 use super::{HostName, Result, RouteError, RouteRule};
-use crate::ids::{ByteSize, ConnectionLimit, ServiceName, SheetVersion};
+use crate::ids::{ByteSize, CallRate, ConnectionLimit, ServiceName, SheetVersion};
 
 /// Limits of one service in the configuration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServiceLimits {
     /// Maximum number of connections that one upstream of the service accepts from all instances.
     pub max_connections: ConnectionLimit,
+    /// Maximum length of the warm-up of an upstream; `None` if it is not stated.
+    pub warmup: Option<Duration>,
+    /// Number of requests a second that an upstream tolerates during its warm-up, from all instances together; `None` if
+    /// no bound is stated.
+    pub cold_rate: Option<CallRate>,
 }
 
 /// Size and time limits for callers.
--- a/crates/anvilhub-coord/src/gateway/upstream_record.rs
+++ b/crates/anvilhub-coord/src/gateway/upstream_record.rs
@@ -21,8 +21,10 @@
     pub slots: SlotCount,
     /// Whether it announced that it is leaving.
     pub is_draining: bool,
-    /// Remaining time of the warm-up after its start, during which it is slow.
+    /// Remaining time of the warm-up, during which it is slow.
     pub warmup_left: Duration,
+    /// Number of the report in which it announced this; a later report of the same process has a higher one.
+    pub report_number: u64,
 }
 
 impl UpstreamRecord {
--- a/crates/anvilhub-coord/src/limit/limit_sharers.rs
+++ b/crates/anvilhub-coord/src/limit/limit_sharers.rs
@@ -38,23 +38,39 @@
         let rate = limit.get().max(MIN_ASKING_RATE);
         // A limit larger than the number of instances gives every instance a share.
         let max_sharers = (rate / MIN_SHARE).floor().max(1.0);
+        let Some(rank) = self.rank(own, upstream) else {
+            return CallRate::default();
+        };
+        if rank as f64 >= max_sharers {
+            return CallRate::default();
+        }
+        CallRate(rate / max_sharers.min(self.members.len() as f64))
+    }
+
+    /// Returns how many of `count` requests `own` may send. The numbers of all instances add up to `count`. An instance
+    /// that knows more members than another one gets no more than it would if it knew as few, so the sum stays at
+    /// `count` or less as long as no instance misses a member that has a share.
+    pub fn whole_share(&self, own: &InstanceId, upstream: &UpstreamProcess, count: u32) -> u32 {
+        let Some(rank) = self.rank(own, upstream) else {
+            return 0;
+        };
+        let member_count = self.members.len() as u32;
+        count.saturating_sub(rank as u32).div_ceil(member_count)
+    }
+
+    /// Returns the number of members before `own` in the order for this upstream; `None` if `own` is no member.
+    fn rank(&self, own: &InstanceId, upstream: &UpstreamProcess) -> Option<usize> {
         let key = RendezvousHash::of_key(&[
             "limit",
             upstream.id.as_str(),
             &upstream.incarnation.to_string(),
         ]);
-        let Some((_, own_hash)) = self.members.iter().find(|(member, _)| member == own) else {
-            return CallRate::default();
-        };
+        let (_, own_hash) = self.members.iter().find(|(member, _)| member == own)?;
         let own_score = own_hash.score(key);
         let ahead = self
             .members
             .iter()
-            .filter(|(_, hash)| hash.score(key) > own_score)
-            .count();
-        if ahead as f64 >= max_sharers {
-            return CallRate::default();
-        }
-        CallRate(rate / max_sharers.min(self.members.len() as f64))
+            .filter(|(_, hash)| hash.score(key) > own_score);
+        Some(ahead.count())
     }
 }
--- a/crates/anvilhub-coord/src/limit/send_permit.rs
+++ b/crates/anvilhub-coord/src/limit/send_permit.rs
@@ -19,4 +19,16 @@
     pub fn is_denied(&self) -> bool {
         matches!(self, Self::Denied { .. })
     }
+
+    /// Returns the permit under both limits.
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Denied { wait: first }, Self::Denied { wait: second }) => Self::Denied {
+                wait: first.max(second),
+            },
+            (denied @ Self::Denied { .. }, _) | (_, denied @ Self::Denied { .. }) => denied,
+            (Self::Unlimited, Self::Unlimited) => Self::Unlimited,
+            (_, _) => Self::Granted,
+        }
+    }
 }
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -23,6 +23,7 @@
 
 use super::{
     FeedState, FleetApiClient, FleetSettings, FollowAnswer, FollowCall, LimitState, ReaderUpdate,
+    WarmupState,
 };
 
 /// What this instance knows about the other members and the platform's values. Shared by the threads and calls that
@@ -40,6 +41,8 @@
     is_platform_unreachable: AtomicBool,
     /// The limits that upstreams name.
     pub(crate) limits: LimitState,
+    /// The upstreams that are cold.
+    pub(crate) warmups: WarmupState,
     /// Whether a running instance told this one which members it knows.
     has_joined: AtomicBool,
     /// Wakes the calls of followers that wait for an update.
@@ -67,6 +70,7 @@
             last_platform_answer_us: AtomicU64::new(0),
             is_platform_unreachable: AtomicBool::new(false),
             limits: LimitState::new(clock, settings.instance.clone()),
+            warmups: WarmupState::new(clock, settings.instance.clone(), settings.warmup_bound),
             has_joined: AtomicBool::new(false),
             state_changed: Notify::new(),
         })
@@ -166,8 +170,7 @@
 
     /// Returns whether this instance has had the time to hear of the larger members of its fleet.
     pub(crate) fn is_settled(&self) -> bool {
-        let own_address = self.settings.peer_address;
-        let has_seeds = self.settings.seeds.iter().any(|seed| *seed != own_address);
+        let has_seeds = self.has_other_seeds();
         let since_start = self.clock.now().since(ClockTime::default());
         SettlingRule::default().is_settled(
             has_seeds,
@@ -176,6 +179,12 @@
         )
     }
 
+    /// Returns whether this instance is to find others.
+    fn has_other_seeds(&self) -> bool {
+        let own_address = self.settings.peer_address;
+        self.settings.seeds.iter().any(|seed| *seed != own_address)
+    }
+
     /// Returns whether another instance can gather the answers to requests with this many sub-requests.
     pub(crate) fn has_relay(&self, sub_request_count: usize) -> bool {
         self.choose_relay(sub_request_count, &DomainShares::default(), &[])
@@ -204,16 +213,35 @@
         })
     }
 
-    /// Returns whether a request may be sent to an upstream under the limit that it names. An instance that does not know
-    /// the others yet has no share of limits.
+    /// Returns whether a request may be sent to an upstream under the limit that it names and that of its warm-up. An
+    /// instance that does not know the others yet has no share of limits.
     pub(crate) fn send_permit(&self, now: ClockTime, process: &UpstreamProcess) -> SendPermit {
-        self.limits
+        let limit_permit = self
+            .limits
             .permit(now, process, || match self.is_settled() {
                 true => self
                     .table
                     .with(|table| table.limit_sharers(now).into_iter().cloned().collect()),
                 false => Vec::new(),
-            })
+            });
+        let list_sharers = || self.cold_sharers(now);
+        limit_permit.and(self.warmups.permit(now, process, list_sharers))
+    }
+
+    /// Records that a request is sent now, unless the upstream is cold and has no room for it; returns whether it may be
+    /// sent.
+    pub(crate) fn try_send(&self, now: ClockTime, process: &UpstreamProcess) -> bool {
+        let list_sharers = || self.cold_sharers(now);
+        self.warmups.try_send(now, process, list_sharers)
+    }
+
+    /// Returns the instances that share the limits of cold upstreams.
+    fn cold_sharers(&self, now: ClockTime) -> Vec<InstanceId> {
+        let is_lone = !self.has_other_seeds();
+        self.table.with(|table| {
+            let sharers = table.cold_sharers(now, is_lone);
+            sharers.into_iter().cloned().collect()
+        })
     }
 
     /// Returns the place in the platform's history up to which this instance has all changes; `None` before the first
--- a/crates/anvilhubd/src/fleet/limit_state.rs
+++ b/crates/anvilhubd/src/fleet/limit_state.rs
@@ -1,9 +1,6 @@
-use std::sync::Arc;
-use std::time::Duration;
-
 use anvilhub_coord::ids::{CallRate, InstanceId};
 use anvilhub_coord::limit::{
-    LimitChange, LimitNote, LimitSharers, LimitTable, SendPermit, StatedLimit, UpstreamProcess,
+    LimitChange, LimitNote, LimitTable, SendPermit, StatedLimit, UpstreamProcess,
 };
 use anvilhub_coord::time::ClockTime;
 use log::info;
@@ -11,16 +8,14 @@
 use crate::daemon_clock::DaemonClock;
 use crate::routes::LockCell;
 
-/// How long the list of instances that share limits is used before it is computed again.
-const SHARERS_LIFETIME: Duration = Duration::from_millis(200);
+use super::SharerCache;
 
 /// The limits that upstreams name, shared by the request path and the calls between instances. Logs their changes.
 pub(crate) struct LimitState {
     clock: DaemonClock,
     own_instance: InstanceId,
     table: LockCell<LimitTable>,
-    /// The instances that share limits, and when they were computed.
-    sharers: LockCell<Option<(ClockTime, Arc<LimitSharers>)>>,
+    sharers: SharerCache,
 }
 
 impl LimitState {
@@ -29,7 +24,7 @@
             clock,
             own_instance,
             table: LockCell::default(),
-            sharers: LockCell::default(),
+            sharers: SharerCache::default(),
         }
     }
 
@@ -72,7 +67,7 @@
     ) -> SendPermit {
         self.table.with(|table| {
             table.permit(now, process, |limit| {
-                let sharers = self.known_sharers(now, list_sharers);
+                let sharers = self.sharers.get(now, list_sharers);
                 sharers.share(&self.own_instance, process, limit)
             })
         })
@@ -110,23 +105,6 @@
             );
         }
     }
-
-    fn known_sharers(
-        &self,
-        now: ClockTime,
-        list_sharers: impl FnOnce() -> Vec<InstanceId>,
-    ) -> Arc<LimitSharers> {
-        self.sharers.with(|known| {
-            if let Some((computed_at, sharers)) = known.as_ref()
-                && now.since(*computed_at) < SHARERS_LIFETIME
-            {
-                return Arc::clone(sharers);
-            }
-            let sharers = Arc::new(LimitSharers::new(list_sharers()));
-            *known = Some((now, Arc::clone(&sharers)));
-            sharers
-        })
-    }
 }
 
 /// Logs a change of the limit of an upstream. `source` is who told this instance.
--- a/crates/anvilhubd/src/fleet/mod.rs
+++ b/crates/anvilhubd/src/fleet/mod.rs
@@ -16,6 +16,8 @@
 mod own_reads;
 mod platform_feed;
 mod reader_update;
+mod sharer_cache;
+mod warmup_state;
 
 pub use feed_error::FeedError;
 pub use fleet_settings::FleetSettings;
@@ -34,6 +36,8 @@
 use limit_state::LimitState;
 use own_reads::OwnReads;
 use reader_update::ReaderUpdate;
+use sharer_cache::SharerCache;
+use warmup_state::WarmupState;
 
 /// Result of reading the platform.
 pub type Result<T, E = FeedError> = std::result::Result<T, E>;
--- a/crates/anvilhubd/src/gateway/answer_metadata.rs
+++ b/crates/anvilhubd/src/gateway/answer_metadata.rs
@@ -23,4 +23,6 @@
     pub rest: Option<Duration>,
     /// Limit of requests from all instances together that the upstream names.
     pub limit: StatedLimit,
+    /// Time for which the upstream states that it stays cold.
+    pub warmup_left: Option<Duration>,
 }
--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -25,8 +25,19 @@
     NotSent { reason: String },
     /// The request was not sent, because the run that it belongs to has ended.
     Withdrawn,
-    /// The request was not sent, because the upstream was removed, is leaving or rests.
+    /// The request was not sent, because the upstream was removed, is leaving, rests or is cold.
     Unsuitable,
     /// The request was sent and may have run: there is no usable answer, for this reason.
     Unknown { kind: FailureKind, reason: String },
 }
+
+impl AttemptOutcome {
+    /// Returns whether the upstream got no request: it was not sent, or another upstream answers at the address.
+    pub(super) fn has_missed_upstream(&self) -> bool {
+        match self {
+            Self::NotSent { .. } | Self::Withdrawn | Self::Unsuitable => true,
+            Self::NotRun { status } => *status == StatusCode::MISDIRECTED_REQUEST,
+            Self::Answered(_) | Self::FailedAtUpstream(_) | Self::Unknown { .. } => false,
+        }
+    }
+}
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -15,7 +15,7 @@
 
 use super::{
     AttemptGuard, AttemptOutcome, ForwardedRequest, Gateway, RouteState, SendGate, SendMetadata,
-    TrackedUpstream, UpstreamAnswer,
+    TrackedUpstream, UpstreamAnswer, wait_cold,
 };
 
 /// Maximum idle time of a connection that is reused for a non-idempotent request. The longer a connection is idle, the
@@ -71,17 +71,11 @@
             AttemptOutcome::FailedAtUpstream(_) => guard.record_failure(FailureKind::Broken),
             AttemptOutcome::NotRun { .. } => guard.record_refusal(),
             AttemptOutcome::NotSent { .. } => {
-                self.gateway
-                    .fleet
-                    .limits
-                    .record_unsent(&self.upstream.process);
+                self.record_unsent();
                 guard.record_failure(FailureKind::Unconnected);
             }
             AttemptOutcome::Withdrawn | AttemptOutcome::Unsuitable => {
-                self.gateway
-                    .fleet
-                    .limits
-                    .record_unsent(&self.upstream.process);
+                self.record_unsent();
                 drop(guard);
             }
             AttemptOutcome::Unknown { kind, .. } => guard.record_failure(*kind),
@@ -89,6 +83,13 @@
         outcome
     }
 
+    /// Gives back the room under the upstream's limits.
+    fn record_unsent(&self) {
+        let fleet = &self.gateway.fleet;
+        fleet.limits.record_unsent(&self.upstream.process);
+        fleet.warmups.release(&self.upstream.process);
+    }
+
     /// Sends the request and reads the answer, at the latest until the deadline.
     async fn exchange(&self, started_at: ClockTime) -> AttemptOutcome {
         let _permit = match self.acquire_permit(started_at).await {
@@ -112,11 +113,11 @@
         if !self.upstream.is_usable(now, leaving_grace) {
             return AttemptOutcome::Unsuitable;
         }
-        if !self.gate.pass() {
+        if let Some(outcome) = self.refuse_send(now) {
             self.upstream
                 .idle_connections
                 .with(|idle_connections| idle_connections.put(now, checked_at, connection));
-            return AttemptOutcome::Withdrawn;
+            return outcome;
         }
         let request = self.request.to_request(|headers| {
             let metadata = SendMetadata {
@@ -129,8 +130,9 @@
         let is_reused = connection.is_used();
         let limit = self.gateway.settings.max_answer_size;
         let answer = timeout(time_left, connection.send(request, limit, || {})).await;
+        let sent_at = now;
         let now = self.gateway.clock.now();
-        match answer {
+        let outcome = match answer {
             Ok(Ok((head, body))) => {
                 let outcome = self.classify_answer(now, is_reused, head, body);
                 let is_reusable = matches!(
@@ -156,7 +158,26 @@
                     reason: "no answer in time".to_owned(),
                 }
             }
+        };
+        if outcome.has_missed_upstream() {
+            let warmups = &self.gateway.fleet.warmups;
+            warmups.retract(sent_at, &self.upstream.process);
         }
+        outcome
+    }
+
+    /// Decides at the last moment whether the request is sent. Returns the outcome of the attempt if it is not: the upstream
+    /// is cold and has no room, or the request has ended.
+    fn refuse_send(&self, now: ClockTime) -> Option<AttemptOutcome> {
+        let fleet = &self.gateway.fleet;
+        if !fleet.try_send(now, &self.upstream.process) {
+            return Some(AttemptOutcome::Unsuitable);
+        }
+        if !self.gate.pass() {
+            fleet.warmups.retract(now, &self.upstream.process);
+            return Some(AttemptOutcome::Withdrawn);
+        }
+        None
     }
 
     /// Waits for one of this instance's connections to the upstream, until the deadline or until there is no reason left
@@ -181,6 +202,7 @@
             () = self.upstream.wait_unusable(self.gateway.clock, leaving_grace) => {
                 Err(AttemptOutcome::Unsuitable)
             }
+            () = wait_cold(&self.gateway, &self.upstream) => Err(AttemptOutcome::Unsuitable),
             permit = queued => match permit {
                 Ok(permit) => Ok(permit.expect("the semaphore stays open")),
                 Err(_) => Err(not_sent("every connection of this instance's share is in use")),
@@ -272,8 +294,12 @@
                 self.upstream.record_rest(now, rest);
             }
         }
-        // The limit in a misdirected answer is that of another upstream.
+        // The limit and the warm-up in a misdirected answer are those of another upstream.
         if !metadata.is_misdirected {
+            if let Some(left) = metadata.warmup_left {
+                let warmups = &self.gateway.fleet.warmups;
+                warmups.record_answer(&self.upstream.process, left);
+            }
             let has_run = metadata.signature.is_some() && !metadata.is_not_run;
             let limits = &self.gateway.fleet.limits;
             limits.record_answer(&self.upstream.process, metadata.limit, has_run);
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -277,6 +277,7 @@
             .fleet
             .limits
             .record_send(&upstream.process, is_extra);
+        self.gateway.fleet.warmups.reserve(&upstream.process);
         self.start_attempt(index, upstream);
         true
     }
@@ -370,7 +371,7 @@
             AttemptOutcome::Unsuitable => {
                 sub_request.send_count -= 1;
                 sub_request.outcome = SubRequestOutcome::Ended(
-                    "the upstream is leaving, rests or was removed".to_owned(),
+                    "the upstream is leaving, rests, is cold or was removed".to_owned(),
                 );
                 (true, SendCause::Resend)
             }
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -107,6 +107,7 @@
         metrics::gauge!("anvilhub_configuration_version").set(catalog.version.get() as f64);
         let table = ServingTable::new(catalog, current.as_deref());
         self.table.store(Some(Arc::new(table)));
+        self.update_warmups();
         self.state_changed.notify_waiters();
     }
 
@@ -247,6 +248,8 @@
             .flat_map(|group| &group.upstreams)
             .map(|upstream| (upstream.record.id.clone(), Arc::clone(upstream)))
             .collect();
+        // Updated before the groups are stored, so that no request finds a cold upstream without its limit.
+        self.update_warmups();
         let mut by_service: HashMap<ServiceName, Vec<Arc<TrackedUpstream>>> = HashMap::new();
         self.upstreams.with(|upstreams| {
             for (record, is_missing) in upstreams.records() {
@@ -298,6 +301,20 @@
         }
     }
 
+    /// Passes on which upstreams are cold, and the rates that their services tolerate then.
+    fn update_warmups(&self) {
+        let warmups = &self.fleet.warmups;
+        if !warmups.is_enabled() {
+            return;
+        }
+        let table = self.table.load_full();
+        let services = table.as_ref().map(|table| &table.catalog.services);
+        self.upstreams.with(|upstreams| {
+            let reports = upstreams.warmup_reports(services);
+            warmups.record_reports(reports, self.fleet.platform_age());
+        });
+    }
+
     /// Starts to track an upstream, with this instance's share of its connections.
     fn track_upstream(&self, record: &UpstreamRecord) -> Arc<TrackedUpstream> {
         let table = self.table.load();
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -26,7 +26,7 @@
 
 /// How often removed upstreams are dropped and missing connections are opened.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
-/// How often the attempts sent to upstreams with a limit are logged.
+/// How often the attempts sent to upstreams with a limit and the ends of warm-ups are logged.
 const LIMIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum idle time of a caller's connection. Longer than callers keep idle connections, so that callers close them
 /// first.
@@ -151,6 +151,7 @@
         if limits_reported_at.elapsed() >= LIMIT_REPORT_INTERVAL {
             limits_reported_at = Instant::now();
             gateway.fleet.limits.report_sends();
+            gateway.fleet.warmups.report();
         }
         if !gateway.is_draining() {
             warmer.open_missing();
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId};
+use anvilhub_coord::limit::WarmupBound;
 use log::LevelFilter;
 
 use crate::fleet::FleetSettings;
@@ -54,6 +55,9 @@
     pub leaving_grace_period: Duration,
     /// How long an attempt may continue after its request has ended, so that its connection can be reused.
     pub abandoned_grace_period: Duration,
+    /// How many requests a cold upstream may get from all instances together; `None` if cold upstreams get requests like
+    /// others.
+    pub warmup_bound: Option<WarmupBound>,
     /// Settings for the cooperation with other instances.
     pub fleet: FleetSettings,
 }
@@ -83,6 +87,7 @@
             connection_sharer_count: 10,
             leaving_grace_period: Duration::from_millis(500),
             abandoned_grace_period: Duration::from_millis(250),
+            warmup_bound: None,
             fleet: FleetSettings::default(),
         }
     }
--- a/crates/anvilhubd/src/gateway/upstream_table.rs
+++ b/crates/anvilhubd/src/gateway/upstream_table.rs
@@ -1,7 +1,8 @@
 use std::collections::HashMap;
 
-use anvilhub_coord::gateway::{DepartedUpstreams, RemovalRule, UpstreamRecord};
-use anvilhub_coord::ids::UpstreamId;
+use anvilhub_coord::gateway::{DepartedUpstreams, RemovalRule, ServiceLimits, UpstreamRecord};
+use anvilhub_coord::ids::{ServiceName, UpstreamId};
+use anvilhub_coord::limit::WarmupReport;
 use anvilhub_coord::time::ClockTime;
 
 /// The upstreams in use. After an outage of the platform the table may hold more upstreams than the platform's list:
@@ -109,4 +110,22 @@
         let upstreams = self.upstreams.values();
         upstreams.map(|upstream| (&upstream.record, upstream.removal_time.is_some()))
     }
+
+    /// Returns what the records and the limits of their services say about warm-ups.
+    pub(super) fn warmup_reports(
+        &self,
+        services: Option<&HashMap<ServiceName, ServiceLimits>>,
+    ) -> Vec<WarmupReport> {
+        let reports = self.records().map(|(record, _)| {
+            let limits = services.and_then(|services| services.get(&record.service));
+            WarmupReport {
+                process: record.process(),
+                number: record.report_number,
+                left: record.warmup_left,
+                max_left: limits.and_then(|limits| limits.warmup),
+                cold_rate: limits.and_then(|limits| limits.cold_rate),
+            }
+        });
+        reports.collect()
+    }
 }
