--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -288,6 +288,7 @@
             .fleet
             .limits
             .record_send(&upstream.process, is_extra);
+        self.gateway.fleet.warmups.reserve(&upstream.process);
         self.start_attempt(index, upstream);
         true
     }
@@ -381,7 +382,7 @@
             AttemptOutcome::Unsuitable => {
                 sub_request.send_count -= 1;
                 sub_request.outcome = SubRequestOutcome::Ended(
-                    "the upstream is leaving, rests, is evacuated or was removed".to_owned(),
+                    "the upstream is leaving, rests, is cold, is evacuated or was removed".to_owned(),
                 );
                 (true, SendCause::Resend)
             }
