Count an older report of a warm-up once

Cause: after a restore the store may hold an older report of an upstream, which states a warm-up. The table compared the numbers of reports with the highest one, so that the older report was taken for new whenever the list of upstreams was passed on, which moved the end of the warm-up out each time.

Change: the table remembers the number of the last report beside the highest one.

--- a/crates/anvilhub-coord/src/limit/warmup_table.rs
+++ b/crates/anvilhub-coord/src/limit/warmup_table.rs
@@ -27,13 +27,20 @@
 pub struct WarmupTable {
     bound: WarmupBound,
     /// The last report of each listed upstream.
-    reports: HashMap<UpstreamProcess, WarmupReport>,
+    reports: HashMap<UpstreamProcess, KnownReport>,
     /// The upstreams that are cold, or were until a moment ago.
     cold: BTreeMap<UpstreamProcess, ColdUpstream>,
     /// Number of times since the last call of `take_withheld_count` that a cold upstream could not be used.
     withheld_count: u64,
 }
 
+#[derive(Clone, Debug)]
+struct KnownReport {
+    report: WarmupReport,
+    /// The highest number of a report so far. The last report has a lower one after the platform was restored from a copy.
+    max_number: u64,
+}
+
 #[derive(Clone, Debug)]
 struct ColdUpstream {
     ends_at: ClockTime,
@@ -82,14 +89,18 @@
     ) -> Vec<WarmupChange> {
         let mut known = std::mem::take(&mut self.reports);
         let mut changes = Vec::new();
-        for mut report in reports {
+        for report in reports {
             let process = report.process.clone();
-            let known_number = known.remove(&process).map(|known| known.number);
-            let is_newer = known_number.is_none_or(|known| report.number > known);
-            let is_known = known_number == Some(report.number);
             let left = report.left;
-            report.number = report.number.max(known_number.unwrap_or_default());
-            self.reports.insert(process.clone(), report);
+            let last = known.remove(&process);
+            let max_number = last.as_ref().map(|last| last.max_number);
+            let is_known = last.is_some_and(|last| last.report.number == report.number);
+            let is_newer = max_number.is_none_or(|max_number| report.number > max_number);
+            let known_report = KnownReport {
+                max_number: report.number.max(max_number.unwrap_or_default()),
+                report,
+            };
+            self.reports.insert(process.clone(), known_report);
             let change = match left.is_zero() {
                 _ if is_known => None,
                 false => self.begin(now, &process, left, is_newer),
@@ -243,7 +254,7 @@
         left: Duration,
         is_newer: bool,
     ) -> Option<WarmupChange> {
-        let report = self.reports.get(process)?;
+        let report = &self.reports.get(process)?.report;
         let ends_at = now + report.max_left.map_or(left, |max_left| left.min(max_left));
         let was_cold = self.is_warming_up(now, process);
         let cold = self
@@ -287,7 +298,7 @@
     }
 
     fn cold_rate(&self, process: &UpstreamProcess) -> Option<CallRate> {
-        let report = self.reports.get(process)?;
+        let report = &self.reports.get(process)?.report;
         report.cold_rate.filter(|rate| rate.get() > 0.0)
     }
 
--- a/crates/anvilhub-coord/tests/warmup_table.rs
+++ b/crates/anvilhub-coord/tests/warmup_table.rs
@@ -85,8 +85,20 @@
     table.record_reports(at(0), [report(7, 5_000)]);
     table.record_reports(at(1_000), [report(5, 0)]);
     assert!(is_cold(&table, 4_999));
-    table.record_reports(at(10_000), [report(7, 5_000)]);
-    assert!(!is_cold(&table, 10_000));
+    assert!(!is_cold(&table, 5_000));
+}
+
+/// A restored report that states a warm-up is repeated with every change of another upstream, and moved the end out each
+/// time.
+#[test]
+fn older_report_counted_once() {
+    let mut table = warm_table();
+    table.record_reports(at(0), [report(7, 0)]);
+    for ms in [1_000, 2_000, 5_000, 9_000] {
+        table.record_reports(at(ms), [report(5, 5_000)]);
+    }
+    assert!(is_cold(&table, 5_999));
+    assert!(!is_cold(&table, 6_000));
 }
 
 /// A report that was written before the answer arrives after it.
