Make the cost of leaving the failure domain a time

Cause: an upstream of another failure domain costs 1.6 typical latencies more, whatever the distance and the bytes. A look-up of 160 ms waits for 256 ms at home before it leaves, and a request of 7 ms leaves for 11 ms even if its bytes cost more than that.

Change: with the optional setting remote_ms_per_kib, the cost is the extra round trip, measured as the difference of the smallest recent times for opening a connection (or stated by remote_round_trip_ms), plus the bytes of the request and the expected answer times the setting. While no local upstream answers in time, the cost is at most the former constant, so that failures are left as early as before. Without the setting, the ranker's constant applies. Attempts and bytes that leave are counted whatever the settings.

Result: in tests/remote_cost.rs, with 2.4 ms of extra round trip, 2 ms for each KiB and answers of 500 bytes, every attempt leaves for a delay at home of 7, 13 and 69 ms on routes of 7, 20 and 160 ms (before: 1.6 to 1.8 typical latencies, that is 256 ms and more on the last). Without a price, 10,000 random choices equal those of the constant. Not measured on a running deployment.

--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! when it is sent again, when a gathered answer is complete enough, and when a refused caller should retry.
 
 mod answer_deadline;
+mod answer_size;
 mod caller_delay;
 mod caller_latency;
 mod departed_upstreams;
@@ -10,6 +11,8 @@
 mod hedge_rule;
 mod host_name;
 mod leaving_state;
+mod opening_time;
+mod remote_cost;
 mod removal_rule;
 mod replica_ranker;
 mod replica_stats;
@@ -30,6 +33,7 @@
 mod weighted_service;
 
 pub use answer_deadline::AnswerDeadline;
+pub use answer_size::AnswerSize;
 pub use caller_delay::CallerDelay;
 pub use caller_latency::CallerLatency;
 pub use departed_upstreams::DepartedUpstreams;
@@ -38,6 +42,8 @@
 pub use hedge_rule::HedgeRule;
 pub use host_name::HostName;
 pub use leaving_state::LeavingState;
+pub use opening_time::OpeningTime;
+pub use remote_cost::RemoteCost;
 pub use removal_rule::RemovalRule;
 pub use replica_ranker::{RankedReplica, ReplicaRanker};
 pub use replica_stats::{FailureKind, ReplicaStats};
--- a/crates/anvilhub-coord/src/gateway/replica_ranker.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_ranker.rs
@@ -13,6 +13,10 @@
     pub is_leaving: bool,
     /// Whether it is in the failure domain of this instance.
     pub is_local: bool,
+    /// Whether it owes an answer for longer than its reported queue explains.
+    pub is_overdue: bool,
+    /// Extra cost of an upstream in another failure domain, in typical latencies; `None` for that of the ranker.
+    pub remote_cost: Option<f64>,
     /// Whether it must not be chosen: an earlier attempt was sent to it, it was removed, it has left, or its limit has
     /// no room.
     pub is_excluded: bool,
@@ -24,7 +28,8 @@
 /// random term that keeps instances with the same view from choosing the same upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaRanker {
-    /// Extra cost of an upstream in another failure domain, in typical latencies.
+    /// Extra cost of an upstream in another failure domain, in typical latencies, if the candidate states none; also
+    /// the maximum while no upstream of this failure domain answers in time.
     pub remote_cost: f64,
     /// Extra cost of an upstream that names a limit, in typical latencies.
     pub limited_cost: f64,
@@ -59,6 +64,10 @@
             .filter(|candidate| !(candidate.is_excluded || is_repeat && candidate.is_leaving))
             .map(tier)
             .min()?;
+        let has_punctual_local = candidates.iter().any(|candidate| {
+            let is_punctual = candidate.is_local && !candidate.is_overdue;
+            is_punctual && !candidate.is_excluded && tier(candidate) == best_tier
+        });
         for (index, candidate) in candidates.iter().enumerate() {
             if candidate.is_excluded || tier(candidate) != best_tier {
                 continue;
@@ -66,7 +75,7 @@
             let remote_cost = if candidate.is_local {
                 0.0
             } else {
-                self.remote_cost
+                self.remote_cost_of(candidate, has_punctual_local)
             };
             let limited_cost = match candidate.is_limited {
                 true => self.limited_cost,
@@ -80,6 +89,17 @@
         }
         best.map(|(_, index)| index)
     }
+
+    /// Returns the extra cost of a candidate in another failure domain, in typical latencies.
+    ///
+    /// A stated cost is raised by the maximum jitter, so that the random term alone never sends an attempt away.
+    fn remote_cost_of(&self, candidate: &RankedReplica, has_punctual_local: bool) -> f64 {
+        match candidate.remote_cost {
+            None => self.remote_cost,
+            Some(cost) if has_punctual_local => cost + self.max_jitter,
+            Some(cost) => (cost + self.max_jitter).min(self.remote_cost),
+        }
+    }
 }
 
 /// Returns the preference of a candidate, lowest first: healthy, cooling down, leaving.
--- a/crates/anvilhub-coord/src/gateway/replica_stats.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_stats.rs
@@ -170,17 +170,32 @@
         (self.known_request_count(now) - slots + 1.0).max(0.0) / slots
     }
 
+    /// Returns whether the oldest unanswered attempt waits longer than the queue explains that the upstream reported: it
+    /// pauses or has failed. A report that is no longer recent explains nothing.
+    pub fn is_overdue(&self, now: ClockTime, typical_latency: Duration, slots: u32) -> bool {
+        let reported = self.reported_request_count(now).unwrap_or(0.0);
+        let queue_rounds = reported / f64::from(slots.max(1));
+        let expected = typical_latency.mul_f64(OVERDUE_FACTOR * (1.0 + queue_rounds));
+        let oldest = self.sent_times.iter().min();
+        oldest.is_some_and(|sent_at| now.since(*sent_at) > expected)
+    }
+
     /// Returns how many requests the upstream holds, as far as this instance knows.
     fn known_request_count(&self, now: ClockTime) -> f64 {
         let own = self.sent_times.len() as f64;
-        let Some((time, load)) = self.reported_load else {
+        let Some(reported) = self.reported_request_count(now) else {
             return own;
         };
-        let freshness = (1.0 - now.since(time).as_secs_f64() / MAX_LOAD_AGE.as_secs_f64()).max(0.0);
-        let reported = f64::from(load.running + load.waiting) * freshness;
         own.max(reported + f64::from(self.sends_since_report).min(own))
     }
 
+    /// Returns how many requests the upstream last reported, less with the age of the report.
+    fn reported_request_count(&self, now: ClockTime) -> Option<f64> {
+        let (time, load) = self.reported_load?;
+        let freshness = (1.0 - now.since(time).as_secs_f64() / MAX_LOAD_AGE.as_secs_f64()).max(0.0);
+        Some(f64::from(load.running + load.waiting) * freshness)
+    }
+
     /// Returns the slowdown that the upstream reported, or 1 if no report is recent enough.
     fn reported_slowdown(&self, now: ClockTime) -> f64 {
         let fresh = self
--- a/crates/anvilhub-coord/src/ids/mod.rs
+++ b/crates/anvilhub-coord/src/ids/mod.rs
@@ -21,6 +21,7 @@
 mod snapshot_id;
 pub(crate) mod text_id;
 mod ticket_number;
+mod transfer_price;
 mod upstream_id;
 mod whole_number;
 
@@ -43,6 +44,7 @@
 pub use slot_count::SlotCount;
 pub use snapshot_id::SnapshotId;
 pub use ticket_number::TicketNumber;
+pub use transfer_price::TransferPrice;
 pub use upstream_id::UpstreamId;
 
 pub(crate) use text_id::is_text_id;
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -34,6 +34,7 @@
 mod platform_confirmation;
 mod reader_rule;
 mod relay_rule;
+mod remote_cost;
 mod removal_rule;
 mod replica_picker;
 mod replica_ranker;
--- a/crates/anvilhub-coord/tests/replica_ranker.rs
+++ b/crates/anvilhub-coord/tests/replica_ranker.rs
@@ -16,6 +16,8 @@
         is_cooling_down: false,
         is_leaving: false,
         is_local: true,
+        is_overdue: false,
+        remote_cost: None,
         is_excluded: false,
     }
 }
--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -1,8 +1,11 @@
 use anvilhub_coord::gateway::FailureKind;
+use anvilhub_coord::ids::ByteSize;
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
 
+use super::forwarded_request::headers_len;
+
 /// A complete, signed answer of an upstream to the request.
 #[derive(Debug)]
 pub(super) struct UpstreamAnswer {
@@ -12,6 +15,13 @@
     pub(super) body: Bytes,
 }
 
+impl UpstreamAnswer {
+    /// Returns the approximate size of the answer on the network.
+    pub(super) fn size(&self) -> ByteSize {
+        ByteSize((headers_len(&self.headers) + self.body.len()) as u64)
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(super) enum AttemptOutcome {
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -14,8 +14,8 @@
 use crate::pool::{PoolError, UpstreamConnection};
 
 use super::{
-    AttemptGuard, AttemptOutcome, ForwardedRequest, Gateway, RouteState, SendGate, SendMetadata,
-    TrackedUpstream, UpstreamAnswer,
+    AttemptGuard, AttemptOutcome, ForwardedRequest, Gateway, RemoteMeter, RouteState, SendGate,
+    SendMetadata, TrackedUpstream, UpstreamAnswer,
 };
 
 /// Maximum idle time of a connection that is reused for a non-idempotent request. The longer a connection is idle, the
@@ -37,7 +37,8 @@
     pub(super) request: Arc<ForwardedRequest>,
     pub(super) route_state: Arc<RouteState>,
     pub(super) repeat_policy: RepeatPolicy,
-    /// Median latency of the route's recent answers, or an estimate while too few are known.
+    /// Median latency of the route's recent answers, or an estimate while too few are known; with the extra round trip
+    /// to the upstream's failure domain, if that is part of its cost.
     pub(super) typical_latency: Duration,
     /// Time by which the answer must have been received.
     pub(super) deadline: ClockTime,
@@ -62,9 +63,16 @@
         );
         let started_at = self.gateway.clock.now();
         let outcome = self.exchange(started_at).await;
+        if let AttemptOutcome::Answered(answer) | AttemptOutcome::FailedAtUpstream(answer) =
+            &outcome
+            && !self.upstream.distance.is_local()
+        {
+            RemoteMeter::record_answer(answer.size());
+        }
         match &outcome {
-            AttemptOutcome::Answered(_) => {
+            AttemptOutcome::Answered(answer) => {
                 let now = self.gateway.clock.now();
+                self.route_state.record_answer_size(answer.size());
                 self.route_state.record_latency(now, now.since(started_at));
                 guard.record_answer();
             }
@@ -118,6 +126,9 @@
                 .with(|idle_connections| idle_connections.put(now, checked_at, connection));
             return AttemptOutcome::Withdrawn;
         }
+        if !self.upstream.distance.is_local() {
+            RemoteMeter::record_send(self.request.size());
+        }
         let request = self.request.to_request(|headers| {
             let metadata = SendMetadata {
                 upstream: &self.upstream.record.id,
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CutoffVerdict, HedgeRule, RankedReplica, ReplicaRanker, SkipRule, SubRequestState, TopRecords,
+    CutoffVerdict, HedgeRule, RankedReplica, RemoteCost, ReplicaRanker, SkipRule, SubRequestState,
+    TopRecords,
 };
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
@@ -33,6 +34,8 @@
     single_answer: Option<UpstreamAnswer>,
     extra_send_count: u32,
     may_have_run: bool,
+    /// What the bytes of an attempt are worth if it leaves the failure domain; `None` without a price.
+    transfer_time: Option<Duration>,
     guard: RunGuard,
     report_sender: UnboundedSender<AttemptReport>,
     report_receiver: UnboundedReceiver<AttemptReport>,
@@ -56,6 +59,9 @@
             RepeatPolicy::Idempotent => Some(gateway.settings.abandoned_grace_period),
             RepeatPolicy::NonIdempotent => None,
         };
+        let transfer_time = gateway.settings.remote_price.map(|price| {
+            RemoteCost::transfer_time(request.size(), route_state.expected_answer_size(), price)
+        });
         let (report_sender, report_receiver) = unbounded_channel();
         Self {
             gateway,
@@ -67,6 +73,7 @@
             single_answer: None,
             extra_send_count: 0,
             may_have_run: false,
+            transfer_time,
             guard: RunGuard::new(grace_period),
             report_sender,
             report_receiver,
@@ -293,7 +300,15 @@
                 let was_tried = sub_request.was_sent_to(upstream);
                 let permit = self.gateway.fleet.send_permit(now, &upstream.process);
                 let typical_latency = self.plan.typical_latency;
-                upstream.to_candidate(now, typical_latency, settings, permit, was_tried)
+                let transfer_time = self.transfer_time;
+                upstream.to_candidate(
+                    now,
+                    typical_latency,
+                    settings,
+                    permit,
+                    transfer_time,
+                    was_tried,
+                )
             })
             .collect();
         let chosen = ReplicaRanker::default().choose(
@@ -307,6 +322,11 @@
     /// Starts an attempt in the background; its outcome arrives at `report_receiver`.
     fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>) {
         let gate = Arc::new(SendGate::default());
+        // The cost of leaving contains the extra round trip; the upstream's observed slowdown must not count it again.
+        let extra_round_trip = match self.transfer_time {
+            Some(_) => upstream.distance.extra_round_trip().unwrap_or_default(),
+            None => Duration::ZERO,
+        };
         let attempt = AttemptRun {
             gate: Arc::clone(&gate),
             gateway: Arc::clone(&self.gateway),
@@ -314,7 +334,7 @@
             request: Arc::clone(&self.request),
             route_state: Arc::clone(&self.route_state),
             repeat_policy: self.plan.repeat_policy,
-            typical_latency: self.plan.typical_latency,
+            typical_latency: self.plan.typical_latency + extra_round_trip,
             deadline: self.plan.arrived_at + self.plan.cutoff.final_cutoff,
         };
         let report_sender = self.report_sender.clone();
--- a/crates/anvilhubd/src/gateway/forwarded_request.rs
+++ b/crates/anvilhubd/src/gateway/forwarded_request.rs
@@ -1,3 +1,4 @@
+use anvilhub_coord::ids::ByteSize;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -15,6 +16,9 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Length of the colon, the space and the line end of a header line.
+const HEADER_SEPARATORS_LEN: usize = 4;
+
 /// A caller's request as it is sent to upstreams: same method, target and body, and the headers that may be
 /// forwarded.
 pub(super) struct ForwardedRequest {
@@ -38,6 +42,24 @@
         add_headers(request.headers_mut());
         request
     }
+
+    /// Returns the approximate size of the request on the network.
+    pub(super) fn size(&self) -> ByteSize {
+        let target_len = self
+            .target
+            .path_and_query()
+            .map_or(1, |path| path.as_str().len());
+        let head_len = self.method.as_str().len() + target_len + headers_len(&self.headers);
+        ByteSize((head_len + self.body.len()) as u64)
+    }
+}
+
+/// Returns the length of the header lines.
+pub(super) fn headers_len(headers: &HeaderMap) -> usize {
+    let line_len = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + HEADER_SEPARATORS_LEN
+    };
+    headers.iter().map(line_len).sum()
 }
 
 /// Removes the hop-by-hop headers, including those that `Connection` names, and `Content-Length`, which the HTTP
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -19,8 +19,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable, StopDeadline,
-    TrackedUpstream, UpstreamTable,
+    DomainDistances, GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable,
+    StopDeadline, TrackedUpstream, UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -52,6 +52,8 @@
     /// The upstreams in use, from which `groups` are rebuilt.
     upstreams: LockCell<UpstreamTable>,
     retry_budgets: LockCell<HashMap<ServiceName, Arc<LockCell<RetryBudget>>>>,
+    /// How far the other failure domains are away.
+    distances: DomainDistances,
     /// Whether a list of upstreams has been received since the start.
     has_upstream_list: AtomicBool,
     /// Time of the last log line about an exhausted budget, in microseconds since the start of `clock`; 0 before the
@@ -83,6 +85,7 @@
             groups_generation: AtomicU64::new(0),
             upstreams: LockCell::default(),
             retry_budgets: LockCell::default(),
+            distances: DomainDistances::default(),
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
             stop_deadline: StopDeadline::default(),
@@ -315,6 +318,8 @@
         Arc::new(TrackedUpstream::new(
             record.clone(),
             connection_share.max(MIN_CONNECTION_SHARE),
+            self.distances
+                .distance(&record.failure_domain, &self.settings, self.clock),
         ))
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId};
+use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId, TransferPrice};
 use log::LevelFilter;
 
 use crate::fleet::FleetSettings;
@@ -54,6 +54,11 @@
     pub leaving_grace_period: Duration,
     /// How long an attempt may continue after its request has ended, so that its connection can be reused.
     pub abandoned_grace_period: Duration,
+    /// Price of the bytes of attempts that leave the failure domain; `None` leaves the cost of such attempts at a constant
+    /// multiple of the route's typical latency.
+    pub remote_price: Option<TransferPrice>,
+    /// By how much a round trip to another failure domain exceeds one within; `None` to measure it.
+    pub remote_round_trip: Option<Duration>,
     /// Settings for the cooperation with other instances.
     pub fleet: FleetSettings,
 }
@@ -83,6 +88,8 @@
             connection_sharer_count: 10,
             leaving_grace_period: Duration::from_millis(500),
             abandoned_grace_period: Duration::from_millis(250),
+            remote_price: None,
+            remote_round_trip: None,
             fleet: FleetSettings::default(),
         }
     }
--- a/crates/anvilhubd/src/gateway/route_state.rs
+++ b/crates/anvilhubd/src/gateway/route_state.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use anvilhub_coord::fleet::DomainShares;
-use anvilhub_coord::gateway::{CallerDelay, CallerLatency, TrafficSplitter};
-use anvilhub_coord::ids::SheetVersion;
+use anvilhub_coord::gateway::{AnswerSize, CallerDelay, CallerLatency, TrafficSplitter};
+use anvilhub_coord::ids::{ByteSize, SheetVersion};
 use anvilhub_coord::routing::{HedgePolicy, LatencyWindow};
 use anvilhub_coord::time::ClockTime;
 
@@ -25,6 +25,7 @@
     caller_latency: LockCell<CallerLatency>,
     pub(super) splitter: LockCell<TrafficSplitter>,
     latencies: LockCell<LatencyWindow>,
+    answer_size: LockCell<AnswerSize>,
     domain_shares: LockCell<Option<KnownShares>>,
 }
 
@@ -81,6 +82,17 @@
             .with(|latencies| latencies.record(now, latency));
     }
 
+    /// Records the size of an upstream's answer.
+    pub(super) fn record_answer_size(&self, size: ByteSize) {
+        self.answer_size
+            .with(|answer_size| answer_size.record(size));
+    }
+
+    /// Returns the size to expect of an upstream's answer.
+    pub(super) fn expected_answer_size(&self) -> ByteSize {
+        self.answer_size.with(|answer_size| answer_size.expected())
+    }
+
     /// Returns the median latency of recent answers, and the time after an attempt is sent at which a hedge is due.
     pub(super) fn typical_latency_and_hedge_delay(
         &self,
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -1,8 +1,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvilhub_coord::gateway::{
-    LeavingState, RankedReplica, ReplicaStats, RestState, UpstreamRecord,
+    LeavingState, RankedReplica, RemoteCost, ReplicaStats, RestState, UpstreamRecord,
 };
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
@@ -14,7 +14,7 @@
 use crate::pool::UpstreamConnection;
 use crate::routes::LockCell;
 
-use super::{GatewaySettings, IdleConnections, RefusalReason, RefusalWait};
+use super::{GatewaySettings, IdleConnections, RefusalReason, RefusalWait, UpstreamDistance};
 
 /// One process of an upstream: the record that it announced, what this instance observed of it, and the connections to
 /// it.
@@ -26,6 +26,7 @@
     pub(super) idle_connections: LockCell<IdleConnections>,
     /// One permit for each connection that this instance may use at once.
     pub(super) connection_permits: Semaphore,
+    pub(super) distance: UpstreamDistance,
     leaving_state: LockCell<LeavingState>,
     rest_state: LockCell<RestState>,
     /// Whether the upstream was removed, or its address belongs to another one.
@@ -35,13 +36,18 @@
 }
 
 impl TrackedUpstream {
-    pub(super) fn new(record: UpstreamRecord, max_connections: usize) -> Self {
+    pub(super) fn new(
+        record: UpstreamRecord,
+        max_connections: usize,
+        distance: UpstreamDistance,
+    ) -> Self {
         Self {
             process: record.process(),
             record,
             stats: LockCell::default(),
             idle_connections: LockCell::default(),
             connection_permits: Semaphore::new(max_connections),
+            distance,
             leaving_state: LockCell::default(),
             rest_state: LockCell::default(),
             is_removed: AtomicBool::new(false),
@@ -163,10 +169,12 @@
         &self,
         max_time: Duration,
     ) -> Result<UpstreamConnection, String> {
+        let started_at = Instant::now();
         let opening = UpstreamConnection::open(self.record.address);
         match timeout(max_time, opening).await {
             Ok(Ok(connection)) => {
                 metrics::counter!("anvilhub_upstream_connections_total").increment(1);
+                self.distance.record_opening(started_at.elapsed());
                 Ok(connection)
             }
             Ok(Err(error)) => Err(error.to_string()),
@@ -190,7 +198,8 @@
                 .with(|idle_connections| idle_connections.is_empty())
     }
 
-    /// Returns this upstream as a candidate for an attempt of a sub-request. `permit` is whether its limit has room, and
+    /// Returns this upstream as a candidate for an attempt of a sub-request. `permit` is whether its limit has room,
+    /// `transfer_time` what the attempt's bytes are worth if it leaves the failure domain (`None` without a price), and
     /// `was_tried` whether an earlier attempt was sent to it.
     pub(super) fn to_candidate(
         &self,
@@ -198,17 +207,27 @@
         typical_latency: Duration,
         settings: &GatewaySettings,
         permit: SendPermit,
+        transfer_time: Option<Duration>,
         was_tried: bool,
     ) -> RankedReplica {
         let is_leaving = self.leaving_state.with(|state| state.is_last_resort());
         let is_usable = self.is_usable(now, settings.leaving_grace_period);
         let slots = self.record.slots.get();
-        let (cost, queue_rounds, is_cooling_down) = self.stats.with(|stats| {
+        let remote_cost = transfer_time.and_then(|transfer_time| {
+            let extra_round_trip = self.distance.extra_round_trip()?;
+            let cost = RemoteCost {
+                extra_round_trip,
+                transfer_time,
+            };
+            Some(cost.in_latencies(typical_latency))
+        });
+        let (cost, queue_rounds, is_cooling_down, is_overdue) = self.stats.with(|stats| {
             let cost = stats.cost(now, typical_latency, slots);
             (
                 cost,
                 stats.queue_rounds(now, slots),
                 stats.is_cooling_down(now),
+                transfer_time.is_some() && stats.is_overdue(now, typical_latency, slots),
             )
         });
         RankedReplica {
@@ -216,7 +235,9 @@
             queue_rounds,
             is_cooling_down,
             is_leaving,
-            is_local: self.record.failure_domain == settings.failure_domain,
+            is_local: self.distance.is_local(),
+            is_overdue,
+            remote_cost,
             is_limited: permit != SendPermit::Unlimited,
             is_excluded: was_tried || !is_usable || permit.is_denied(),
         }
