Bound by a share what leaves the failure domain because of load

Cause: with the cost of leaving as a time, every attempt for which leaving pays a little would leave at once, at all instances with the same view, and nothing would end that if reported loads were missing or old.

Change: SpilloverShare, one for each service and instance, is the fraction of first attempts that may leave among those that save more than the cost, but less than the former constant. Larger savings, retries, and upstreams that are unusable or overdue are not bounded. It applies only with remote_ms_per_kib.

Not measured on a running deployment.

--- a/crates/anvilhub-coord/src/gateway/replica_ranker.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_ranker.rs
@@ -1,3 +1,7 @@
+use std::time::Duration;
+
+use super::RemoteSaving;
+
 /// An upstream that may be chosen for an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RankedReplica {
@@ -17,6 +21,8 @@
     pub is_overdue: bool,
     /// Extra cost of an upstream in another failure domain, in typical latencies; `None` for that of the ranker.
     pub remote_cost: Option<f64>,
+    /// Time since its last answer; `None` before the first one.
+    pub answer_age: Option<Duration>,
     /// Whether it must not be chosen: an earlier attempt was sent to it, it was removed, it has left, or its limit has
     /// no room.
     pub is_excluded: bool,
@@ -35,6 +41,9 @@
     pub limited_cost: f64,
     /// Maximum random extra cost, in typical latencies.
     pub max_jitter: f64,
+    /// Fraction of the first attempts that leave for an upstream with a stated `remote_cost`, among those that would
+    /// save more than that, but less than the ranker's own `remote_cost`.
+    pub leaving_share: f64,
 }
 
 impl Default for ReplicaRanker {
@@ -43,6 +52,7 @@
             remote_cost: 1.6,
             limited_cost: 1.0,
             max_jitter: 0.2,
+            leaving_share: 1.0,
         }
     }
 }
@@ -59,35 +69,81 @@
         mut random: impl FnMut() -> f64,
     ) -> Option<usize> {
         let mut best: Option<(f64, usize)> = None;
-        let best_tier = candidates
-            .iter()
-            .filter(|candidate| !(candidate.is_excluded || is_repeat && candidate.is_leaving))
-            .map(tier)
-            .min()?;
-        let has_punctual_local = candidates.iter().any(|candidate| {
-            let is_punctual = candidate.is_local && !candidate.is_overdue;
-            is_punctual && !candidate.is_excluded && tier(candidate) == best_tier
-        });
+        let mut best_local: Option<(f64, usize)> = None;
+        let best_tier = best_tier(candidates, is_repeat)?;
+        let has_punctual_local = has_punctual_local(candidates, best_tier);
         for (index, candidate) in candidates.iter().enumerate() {
             if candidate.is_excluded || tier(candidate) != best_tier {
                 continue;
             }
-            let remote_cost = if candidate.is_local {
-                0.0
-            } else {
-                self.remote_cost_of(candidate, has_punctual_local)
-            };
-            let limited_cost = match candidate.is_limited {
-                true => self.limited_cost,
-                false => 0.0,
-            };
-            let extra_cost = remote_cost + limited_cost + self.max_jitter * random();
+            let extra_cost =
+                self.extra_cost(candidate, has_punctual_local) + self.max_jitter * random();
             let cost = candidate.cost + extra_cost;
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
             }
+            if candidate.is_local && best_local.is_none_or(|(lowest, _)| cost < lowest) {
+                best_local = Some((cost, index));
+            }
+        }
+        let (_, chosen) = best?;
+        let Some((_, local)) = best_local else {
+            return Some(chosen);
+        };
+        let is_bounded = !is_repeat && has_punctual_local && self.leaving_share < 1.0;
+        if is_bounded
+            && self.saves_little(&candidates[local], &candidates[chosen])
+            && random() >= self.leaving_share
+        {
+            return Some(local);
         }
-        best.map(|(_, index)| index)
+        Some(chosen)
+    }
+
+    /// Returns what a first attempt would save by leaving the failure domain; `None` if it cannot choose whether to
+    /// leave, or has to because no local upstream answers in time.
+    pub fn remote_saving(&self, candidates: &[RankedReplica]) -> Option<RemoteSaving> {
+        let best_tier = best_tier(candidates, false)?;
+        if !has_punctual_local(candidates, best_tier) {
+            return None;
+        }
+        let lowest_cost = |is_local: bool| {
+            candidates
+                .iter()
+                .filter(|candidate| !candidate.is_excluded && tier(candidate) == best_tier)
+                .filter(|candidate| candidate.is_local == is_local)
+                .filter(|candidate| candidate.is_local || candidate.remote_cost.is_some())
+                .map(|candidate| candidate.cost + self.extra_cost(candidate, true))
+                .min_by(f64::total_cmp)
+        };
+        let remote = candidates.iter().filter(|candidate| !candidate.is_local);
+        Some(RemoteSaving {
+            local_cost: lowest_cost(true)?,
+            remote_cost: lowest_cost(false)?,
+            answer_age: remote.filter_map(|candidate| candidate.answer_age).min(),
+        })
+    }
+
+    /// Returns whether `chosen` is an upstream of another failure domain that the ranker's own `remote_cost` would keep
+    /// an attempt from. Larger savings, such as those for a paused or full upstream, are not bounded.
+    fn saves_little(&self, local: &RankedReplica, chosen: &RankedReplica) -> bool {
+        let Some(stated) = chosen.remote_cost.filter(|_| !chosen.is_local) else {
+            return false;
+        };
+        local.cost - chosen.cost < self.remote_cost.max(stated)
+    }
+
+    /// Returns what is added to the cost of a candidate, without the random term, in typical latencies.
+    fn extra_cost(&self, candidate: &RankedReplica, has_punctual_local: bool) -> f64 {
+        let remote_cost = match candidate.is_local {
+            true => 0.0,
+            false => self.remote_cost_of(candidate, has_punctual_local),
+        };
+        let limited_cost = match candidate.is_limited {
+            true => self.limited_cost,
+            false => 0.0,
+        };
+        remote_cost + limited_cost
     }
 
     /// Returns the extra cost of a candidate in another failure domain, in typical latencies.
@@ -102,6 +158,23 @@
     }
 }
 
+/// Returns the preference of the candidates to choose from; `None` if there are none.
+fn best_tier(candidates: &[RankedReplica], is_repeat: bool) -> Option<u32> {
+    candidates
+        .iter()
+        .filter(|candidate| !(candidate.is_excluded || is_repeat && candidate.is_leaving))
+        .map(tier)
+        .min()
+}
+
+/// Returns whether a candidate of this failure domain is not overdue.
+fn has_punctual_local(candidates: &[RankedReplica], best_tier: u32) -> bool {
+    candidates.iter().any(|candidate| {
+        let is_punctual = candidate.is_local && !candidate.is_overdue;
+        is_punctual && !candidate.is_excluded && tier(candidate) == best_tier
+    })
+}
+
 /// Returns the preference of a candidate, lowest first: healthy, cooling down, leaving.
 fn tier(candidate: &RankedReplica) -> u32 {
     match (candidate.is_leaving, candidate.is_cooling_down) {
--- a/crates/anvilhub-coord/src/gateway/replica_stats.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_stats.rs
@@ -60,6 +60,7 @@
     failure_rate: f64,
     failure_rate_updated_at: ClockTime,
     cooldown_until: Option<ClockTime>,
+    answered_at: Option<ClockTime>,
 }
 
 impl ReplicaStats {
@@ -79,6 +80,7 @@
     ) -> bool {
         self.remove_attempt(sent_at);
         let was_suspect = self.is_suspect();
+        self.answered_at = Some(now);
         self.consecutive_failures = 0;
         self.cooldown_until = None;
         self.update_failure_rate(now, 0.0);
@@ -138,6 +140,11 @@
         self.sends_since_report = 0;
     }
 
+    /// Returns the time since the last answer; `None` before the first one.
+    pub fn answer_age(&self, now: ClockTime) -> Option<Duration> {
+        self.answered_at.map(|answered_at| now.since(answered_at))
+    }
+
     /// Returns the number of attempts of this instance that are in flight.
     pub fn in_flight(&self) -> usize {
         self.sent_times.len()
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -53,6 +53,8 @@
 mod sheets;
 mod skip_rule;
 mod slot_queue;
+mod spillover_replay;
+mod spillover_share;
 mod start_sample;
 mod ticket_search;
 mod ticket_table;
--- a/crates/anvilhub-coord/tests/remote_cost.rs
+++ b/crates/anvilhub-coord/tests/remote_cost.rs
@@ -31,6 +31,7 @@
         is_local: remote_cost.is_none(),
         is_overdue: false,
         remote_cost,
+        answer_age: None,
         is_excluded: false,
     }
 }
--- a/crates/anvilhub-coord/tests/replica_ranker.rs
+++ b/crates/anvilhub-coord/tests/replica_ranker.rs
@@ -18,6 +18,7 @@
         is_local: true,
         is_overdue: false,
         remote_cost: None,
+        answer_age: None,
         is_excluded: false,
     }
 }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -311,11 +311,16 @@
                 )
             })
             .collect();
-        let chosen = ReplicaRanker::default().choose(
-            &candidates,
-            !sub_request.tried_upstreams.is_empty(),
-            rand::random::<f64>,
-        )?;
+        let is_repeat = !sub_request.tried_upstreams.is_empty();
+        let mut ranker = ReplicaRanker::default();
+        if self.transfer_time.is_some()
+            && !is_repeat
+            && let Some(saving) = ranker.remote_saving(&candidates)
+        {
+            let typical_latency = self.plan.typical_latency;
+            ranker.leaving_share = group.spillover.record_choice(now, typical_latency, &saving);
+        }
+        let chosen = ranker.choose(&candidates, is_repeat, rand::random::<f64>)?;
         Some((Arc::clone(&group.upstreams[chosen]), candidates[chosen]))
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -19,8 +19,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    DomainDistances, GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable,
-    StopDeadline, TrackedUpstream, UpstreamTable,
+    DomainDistances, GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServiceSpillover,
+    ServingTable, StopDeadline, TrackedUpstream, UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -52,6 +52,7 @@
     /// The upstreams in use, from which `groups` are rebuilt.
     upstreams: LockCell<UpstreamTable>,
     retry_budgets: LockCell<HashMap<ServiceName, Arc<LockCell<RetryBudget>>>>,
+    spillovers: LockCell<HashMap<ServiceName, Arc<ServiceSpillover>>>,
     /// How far the other failure domains are away.
     distances: DomainDistances,
     /// Whether a list of upstreams has been received since the start.
@@ -85,6 +86,7 @@
             groups_generation: AtomicU64::new(0),
             upstreams: LockCell::default(),
             retry_budgets: LockCell::default(),
+            spillovers: LockCell::default(),
             distances: DomainDistances::default(),
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
@@ -283,9 +285,11 @@
             .into_iter()
             .map(|(service, upstreams)| {
                 let retry_budget = self.retry_budget(&service);
+                let spillover = self.spillover(&service);
                 let group = ServiceGroup {
                     upstreams,
                     retry_budget,
+                    spillover,
                 };
                 (service, Arc::new(group))
             })
@@ -323,6 +327,28 @@
         ))
     }
 
+    /// Ends the spillover of services that have had no attempts for a while.
+    pub(super) fn expire_spillovers(&self) {
+        if self.settings.remote_price.is_none() {
+            return;
+        }
+        let now = self.clock.now();
+        let groups = self.groups.load();
+        groups
+            .values()
+            .for_each(|group| group.spillover.expire(now));
+    }
+
+    /// Returns the spillover of `service`; creates it when it is first needed.
+    fn spillover(&self, service: &ServiceName) -> Arc<ServiceSpillover> {
+        self.spillovers.with(|spillovers| {
+            let spillover = spillovers
+                .entry(service.clone())
+                .or_insert_with(|| Arc::new(ServiceSpillover::new(service.clone())));
+            Arc::clone(spillover)
+        })
+    }
+
     /// Returns the retry budget of `service`; creates it when it is first needed.
     fn retry_budget(&self, service: &ServiceName) -> Arc<LockCell<RetryBudget>> {
         let settings = &self.settings;
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -143,6 +143,7 @@
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         gateway.drop_removed_upstreams();
+        gateway.expire_spillovers();
         let is_ready = gateway.is_ready();
         if is_ready != was_ready {
             was_ready = is_ready;
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -221,15 +221,17 @@
             };
             Some(cost.in_latencies(typical_latency))
         });
-        let (cost, queue_rounds, is_cooling_down, is_overdue) = self.stats.with(|stats| {
-            let cost = stats.cost(now, typical_latency, slots);
-            (
-                cost,
-                stats.queue_rounds(now, slots),
-                stats.is_cooling_down(now),
-                transfer_time.is_some() && stats.is_overdue(now, typical_latency, slots),
-            )
-        });
+        let (cost, queue_rounds, is_cooling_down, is_overdue, answer_age) =
+            self.stats.with(|stats| {
+                let cost = stats.cost(now, typical_latency, slots);
+                (
+                    cost,
+                    stats.queue_rounds(now, slots),
+                    stats.is_cooling_down(now),
+                    transfer_time.is_some() && stats.is_overdue(now, typical_latency, slots),
+                    stats.answer_age(now),
+                )
+            });
         RankedReplica {
             cost,
             queue_rounds,
@@ -238,6 +240,7 @@
             is_local: self.distance.is_local(),
             is_overdue,
             remote_cost,
+            answer_age,
             is_limited: permit != SendPermit::Unlimited,
             is_excluded: was_tried || !is_usable || permit.is_denied(),
         }
