--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -19,8 +19,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    DomainTable, GatewaySettings, HeaderCodec, RouteState, ServiceGroup, ServingTable,
-    StopDeadline, TrackedUpstream, UpstreamTable,
+    DomainDistances, DomainTable, GatewaySettings, HeaderCodec, RouteState, ServiceGroup,
+    ServiceSpillover, ServingTable, StopDeadline, TrackedUpstream, UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -54,6 +54,9 @@
     /// What the operator has ordered for each failure domain.
     pub(super) domains: DomainTable,
     retry_budgets: LockCell<HashMap<ServiceName, Arc<LockCell<RetryBudget>>>>,
+    spillovers: LockCell<HashMap<ServiceName, Arc<ServiceSpillover>>>,
+    /// How far the other failure domains are away.
+    distances: DomainDistances,
     /// Whether a list of upstreams has been received since the start.
     has_upstream_list: AtomicBool,
     /// Time of the last log line about an exhausted budget, in microseconds since the start of `clock`; 0 before the
@@ -86,6 +89,8 @@
             upstreams: LockCell::default(),
             domains: DomainTable::default(),
             retry_budgets: LockCell::default(),
+            spillovers: LockCell::default(),
+            distances: DomainDistances::default(),
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
             stop_deadline: StopDeadline::default(),
@@ -297,9 +302,11 @@
             .into_iter()
             .map(|(service, upstreams)| {
                 let retry_budget = self.retry_budget(&service);
+                let spillover = self.spillover(&service);
                 let group = ServiceGroup {
                     upstreams,
                     retry_budget,
+                    spillover,
                 };
                 (service, Arc::new(group))
             })
@@ -346,10 +353,34 @@
         Arc::new(TrackedUpstream::new(
             record.clone(),
             connection_share.max(MIN_CONNECTION_SHARE),
+            self.distances
+                .distance(&record.failure_domain, &self.settings, self.clock),
             self.domains.state(&record.failure_domain),
         ))
     }
 
+    /// Ends the spillover of services that have had no attempts for a while.
+    pub(super) fn expire_spillovers(&self) {
+        if self.settings.remote_price.is_none() {
+            return;
+        }
+        let now = self.clock.now();
+        let groups = self.groups.load();
+        groups
+            .values()
+            .for_each(|group| group.spillover.expire(now));
+    }
+
+    /// Returns the spillover of `service`; creates it when it is first needed.
+    fn spillover(&self, service: &ServiceName) -> Arc<ServiceSpillover> {
+        self.spillovers.with(|spillovers| {
+            let spillover = spillovers
+                .entry(service.clone())
+                .or_insert_with(|| Arc::new(ServiceSpillover::new(service.clone())));
+            Arc::clone(spillover)
+        })
+    }
+
     /// Returns the retry budget of `service`; creates it when it is first needed.
     fn retry_budget(&self, service: &ServiceName) -> Arc<LockCell<RetryBudget>> {
         let settings = &self.settings;
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId};
+use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId, TransferPrice};
 use anvilhub_coord::limit::WarmupBound;
 use log::LevelFilter;
 
@@ -58,6 +58,11 @@
     /// How many requests a cold upstream may get from all instances together; `None` if cold upstreams get requests like
     /// others.
     pub warmup_bound: Option<WarmupBound>,
+    /// Price of the bytes of attempts that leave the failure domain; `None` leaves the cost of such attempts at a constant
+    /// multiple of the route's typical latency.
+    pub remote_price: Option<TransferPrice>,
+    /// By how much a round trip to another failure domain exceeds one within; `None` to measure it.
+    pub remote_round_trip: Option<Duration>,
     /// Settings for the cooperation with other instances.
     pub fleet: FleetSettings,
 }
@@ -88,6 +93,8 @@
             leaving_grace_period: Duration::from_millis(500),
             abandoned_grace_period: Duration::from_millis(250),
             warmup_bound: None,
+            remote_price: None,
+            remote_round_trip: None,
             fleet: FleetSettings::default(),
         }
     }
