Grant connections to upstreams by priority and deadline

Cause: attempts waited for an instance's connections to an upstream in the order of arrival, whatever the priority of their routes. Urgent requests stood behind bursts of others. Change: CapacityQueue decides, in the highest priority first, then first attempts before hedges and retries, then by deadline. Grants to higher priorities delay a priority by half of its route's latency target at most; then it gets one connection, and the time is counted anew. An attempt that would be late even at twice the usual rate is rejected on arrival, without a cooldown of the upstream. The ordered queue is the one of the product's own interface (UrgencyQueue). If all routes have one priority, the order is that of arrival, and nothing is rejected on arrival. The test with a real process (request_priority) fails with priorities switched off: none of the urgent requests is sent first instead of all three.

--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -4,12 +4,15 @@
 mod answer_deadline;
 mod caller_delay;
 mod caller_latency;
+mod capacity_claim;
+mod capacity_queue;
 mod departed_upstreams;
 mod gather_cutoff;
 mod gather_rule;
 mod hedge_rule;
 mod host_name;
 mod leaving_state;
+mod priority_levels;
 mod removal_rule;
 mod replica_ranker;
 mod replica_stats;
@@ -32,6 +35,11 @@
 pub use answer_deadline::AnswerDeadline;
 pub use caller_delay::CallerDelay;
 pub use caller_latency::CallerLatency;
+pub use capacity_claim::CapacityClaim;
+pub use capacity_queue::{
+    CapacityDecision, CapacityGrant, CapacityQueue, CapacityRelease, CapacityTicket,
+    RejectionReason,
+};
 pub use departed_upstreams::DepartedUpstreams;
 pub use gather_cutoff::{CutoffVerdict, GatherCutoff};
 pub use gather_rule::GatherRule;
@@ -57,5 +65,7 @@
 pub use upstream_record::UpstreamRecord;
 pub use weighted_service::WeightedService;
 
+use priority_levels::PriorityLevels;
+
 /// Result of a route decision.
 pub type Result<T, E = RouteError> = std::result::Result<T, E>;
--- a/crates/anvilhub-coord/src/gateway/route_catalog.rs
+++ b/crates/anvilhub-coord/src/gateway/route_catalog.rs
@@ -45,6 +45,8 @@
     /// Services by name.
     pub services: HashMap<ServiceName, ServiceLimits>,
     rules: Vec<RouteRule>,
+    /// Whether the rules have different priorities.
+    has_priorities: bool,
     /// Indexes of the rules of each host, longest prefix first.
     by_host: HashMap<HostName, Vec<usize>>,
 }
@@ -59,9 +61,13 @@
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|&index| std::cmp::Reverse(rules[index].prefix.len()));
         }
+        let has_priorities = rules
+            .windows(2)
+            .any(|pair| pair[0].priority != pair[1].priority);
         Self {
             version,
             rules,
+            has_priorities,
             by_host,
             ..Self::default()
         }
@@ -72,6 +78,11 @@
         &self.rules
     }
 
+    /// Returns whether the routes have different priorities. If not, attempts get scarce capacity in the order of arrival.
+    pub fn has_priorities(&self) -> bool {
+        self.has_priorities
+    }
+
     /// Returns the index of the route of `host` with the longest prefix that matches `path`.
     ///
     /// # Errors
--- a/crates/anvilhub-coord/src/routing/mod.rs
+++ b/crates/anvilhub-coord/src/routing/mod.rs
@@ -32,7 +32,7 @@
 pub use slot_queue::{SlotDecision, SlotQueue, SlotRelease};
 pub use upstream_load::UpstreamLoad;
 pub use upstream_view::{LeavingSignal, ReportedLoad, UpstreamView};
-pub(crate) use urgency_queue::{DroppedItem, URGENCY_CLASSES, UrgencyQueue};
+pub(crate) use urgency_queue::{DroppedItem, QueueRank, URGENCY_CLASSES, UrgencyQueue};
 
 /// Result of a replica choice.
 pub type Result<T, E = PickError> = std::result::Result<T, E>;
--- a/crates/anvilhub-coord/src/routing/urgency_queue.rs
+++ b/crates/anvilhub-coord/src/routing/urgency_queue.rs
@@ -10,18 +10,19 @@
     UrgencyClass::Deferred,
 ];
 
-/// Position of an item in the queue: its urgency, its deadline and the number of items that arrived before it.
-type QueueRank = (UrgencyClass, ClockTime, u64);
+/// Position of an item in the queue: its class, its deadline and the number of items that arrived before it.
+pub(crate) type QueueRank<C = UrgencyClass> = (C, ClockTime, u64);
 
-/// A bounded queue ordered by urgency, then deadline, then arrival.
+/// A bounded queue ordered by class, then deadline, then arrival. The class is the urgency in the product's own
+/// interface; the gateway has its own classes.
 #[derive(Clone, Debug)]
-pub(crate) struct UrgencyQueue<T> {
-    items: BTreeMap<QueueRank, T>,
+pub(crate) struct UrgencyQueue<T, C = UrgencyClass> {
+    items: BTreeMap<QueueRank<C>, T>,
     capacity: usize,
     arrival_count: u64,
 }
 
-impl<T> UrgencyQueue<T> {
+impl<T, C: Copy + Ord> UrgencyQueue<T, C> {
     pub(crate) fn new(capacity: usize) -> Self {
         Self {
             items: BTreeMap::new(),
@@ -37,12 +38,11 @@
     /// Adds an item. If the queue is full, returns the item that is dropped, which may be the added one.
     pub(crate) fn push(
         &mut self,
-        urgency: UrgencyClass,
+        class: C,
         deadline: ClockTime,
         item: T,
     ) -> Option<(T, DroppedItem)> {
-        let rank = (urgency, deadline, self.arrival_count);
-        self.arrival_count += 1;
+        let rank = self.next_rank(class, deadline);
         if self.items.len() < self.capacity {
             self.items.insert(rank, item);
             return None;
@@ -56,17 +56,56 @@
         Some((item, DroppedItem::Waiting))
     }
 
+    /// Adds an item whatever the capacity, and returns its position.
+    pub(crate) fn insert(&mut self, class: C, deadline: ClockTime, item: T) -> QueueRank<C> {
+        let rank = self.next_rank(class, deadline);
+        self.items.insert(rank, item);
+        rank
+    }
+
+    /// Returns the position of the first item.
+    pub(crate) fn first(&self) -> Option<QueueRank<C>> {
+        self.items.first_key_value().map(|(rank, _)| *rank)
+    }
+
+    /// Returns the position of the first item that is of `class` or a later one.
+    pub(crate) fn first_from(&self, class: C) -> Option<QueueRank<C>> {
+        let mut later = self.items.range((class, ClockTime(0), 0)..);
+        later.next().map(|(rank, _)| *rank)
+    }
+
+    /// Removes and returns the item at this position.
+    pub(crate) fn remove(&mut self, rank: &QueueRank<C>) -> Option<T> {
+        self.items.remove(rank)
+    }
+
     /// Removes the first item and returns it with its deadline.
     pub(crate) fn pop(&mut self) -> Option<(T, ClockTime)> {
         let ((_, deadline, _), item) = self.items.pop_first()?;
         Some((item, deadline))
     }
 
-    /// Returns the number of items that leave the queue before a new item of `urgency` with `deadline`.
-    pub(crate) fn count_ahead(&self, urgency: UrgencyClass, deadline: ClockTime) -> usize {
-        self.items.range(..=(urgency, deadline, u64::MAX)).count()
+    /// Returns the number of items that leave the queue before a new item of `class` with `deadline`.
+    pub(crate) fn count_ahead(&self, class: C, deadline: ClockTime) -> usize {
+        self.items.range(..=(class, deadline, u64::MAX)).count()
+    }
+
+    /// Removes and returns the items that match.
+    pub(crate) fn withdraw(&mut self, mut matches: impl FnMut(&T) -> bool) -> Vec<T> {
+        self.items
+            .extract_if(.., |_, item| matches(item))
+            .map(|(_, item)| item)
+            .collect()
+    }
+
+    fn next_rank(&mut self, class: C, deadline: ClockTime) -> QueueRank<C> {
+        let rank = (class, deadline, self.arrival_count);
+        self.arrival_count += 1;
+        rank
     }
+}
 
+impl<T> UrgencyQueue<T> {
     /// Removes and returns the items whose deadline is not after the `limit` of their class.
     pub(crate) fn remove_expired(&mut self, limit: impl Fn(UrgencyClass) -> ClockTime) -> Vec<T> {
         let mut expired = Vec::new();
@@ -79,14 +118,6 @@
         }
         expired
     }
-
-    /// Removes and returns the items that match.
-    pub(crate) fn withdraw(&mut self, mut matches: impl FnMut(&T) -> bool) -> Vec<T> {
-        self.items
-            .extract_if(.., |_, item| matches(item))
-            .map(|(_, item)| item)
-            .collect()
-    }
 }
 
 /// The item that a full queue drops.
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -8,6 +8,8 @@
 mod attempt_rule;
 mod caller_delay;
 mod caller_latency;
+mod capacity_queue;
+mod capacity_replay;
 mod connection_ledger;
 mod connection_share;
 mod contact_estimate;
--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -1,4 +1,4 @@
-use anvilhub_coord::gateway::FailureKind;
+use anvilhub_coord::gateway::{FailureKind, RejectionReason};
 use bytes::Bytes;
 use hyper::StatusCode;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -23,6 +23,8 @@
     NotRun { status: StatusCode },
     /// The request was not sent, for this reason.
     NotSent { reason: String },
+    /// The request was not sent, because it got no connection that could serve it before its deadline.
+    Rejected { reason: RejectionReason },
     /// The request was not sent, because the run that it belongs to has ended.
     Withdrawn,
     /// The request was not sent, because the upstream was removed, is leaving or rests.
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -1,21 +1,22 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anvilhub_coord::gateway::FailureKind;
+use anvilhub_coord::gateway::{CapacityClaim, FailureKind, RejectionReason};
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use bytes::Bytes;
 use hyper::header::{self, HeaderMap};
 use hyper::http::response::Parts;
 use log::info;
-use tokio::sync::SemaphorePermit;
+use metrics::counter;
 use tokio::time::timeout;
 
 use crate::pool::{PoolError, UpstreamConnection};
 
 use super::{
-    AttemptGuard, AttemptOutcome, ForwardedRequest, Gateway, RouteState, SendGate, SendMetadata,
-    TrackedUpstream, UpstreamAnswer,
+    AttemptGuard, AttemptOutcome, ConnectionGrant, ForwardedRequest, Gateway, RouteState, SendGate,
+    SendMetadata, TrackedUpstream, UpstreamAnswer,
 };
 
 /// Maximum idle time of a connection that is reused for a non-idempotent request. The longer a connection is idle, the
@@ -41,6 +42,8 @@
     pub(super) typical_latency: Duration,
     /// Time by which the answer must have been received.
     pub(super) deadline: ClockTime,
+    /// By what the attempt is compared with others that wait for a connection.
+    pub(super) claim: CapacityClaim,
     /// Whether the request may still be sent.
     pub(super) gate: Arc<SendGate>,
 }
@@ -77,7 +80,9 @@
                     .record_unsent(&self.upstream.process);
                 guard.record_failure(FailureKind::Unconnected);
             }
-            AttemptOutcome::Withdrawn | AttemptOutcome::Unsuitable => {
+            AttemptOutcome::Withdrawn
+            | AttemptOutcome::Unsuitable
+            | AttemptOutcome::Rejected { .. } => {
                 self.gateway
                     .fleet
                     .limits
@@ -91,8 +96,8 @@
 
     /// Sends the request and reads the answer, at the latest until the deadline.
     async fn exchange(&self, started_at: ClockTime) -> AttemptOutcome {
-        let _permit = match self.acquire_permit(started_at).await {
-            Ok(permit) => permit,
+        let _grant = match self.acquire_connection().await {
+            Ok(grant) => grant,
             Err(outcome) => return outcome,
         };
         let permitted_at = self.gateway.clock.now();
@@ -165,29 +170,56 @@
     /// # Errors
     ///
     /// Fails with the outcome of the attempt, which has sent nothing.
-    async fn acquire_permit(
-        &self,
-        started_at: ClockTime,
-    ) -> Result<SemaphorePermit<'_>, AttemptOutcome> {
-        let permits = &self.upstream.connection_permits;
-        if let Ok(permit) = permits.try_acquire() {
-            return Ok(permit);
+    async fn acquire_connection(&self) -> Result<ConnectionGrant, AttemptOutcome> {
+        let queue = &self.upstream.connection_queue;
+        if let Some(grant) = queue.try_acquire() {
+            return Ok(grant);
         }
         let leaving_grace = self.gateway.settings.leaving_grace_period;
-        let queued = timeout(self.deadline.since(started_at), permits.acquire());
         tokio::select! {
             biased;
             () = self.gate.wait_closed() => Err(AttemptOutcome::Withdrawn),
             () = self.upstream.wait_unusable(self.gateway.clock, leaving_grace) => {
                 Err(AttemptOutcome::Unsuitable)
             }
-            permit = queued => match permit {
-                Ok(permit) => Ok(permit.expect("the semaphore stays open")),
-                Err(_) => Err(not_sent("every connection of this instance's share is in use")),
+            result = queue.acquire(self.claim) => match result {
+                Ok(grant) => {
+                    self.log_passed_over(&grant);
+                    Ok(grant)
+                }
+                Err(reason) => Err(self.rejected(reason)),
             },
         }
     }
 
+    /// Returns the outcome of an attempt that got no connection. Where priorities are in use, the wait says nothing about
+    /// the upstream: a cooldown of it would also keep higher priorities away.
+    fn rejected(&self, reason: RejectionReason) -> AttemptOutcome {
+        match self.claim.is_ranked {
+            true => AttemptOutcome::Rejected { reason },
+            false => not_sent("every connection of this instance's share is in use"),
+        }
+    }
+
+    /// Logs that the priority of the request was passed over up to its bound; one line for each request.
+    fn log_passed_over(&self, grant: &ConnectionGrant) {
+        let Some(passed_over) = grant.passed_over() else {
+            return;
+        };
+        counter!("anvilhub_passed_over_total", "priority" => self.claim.priority.to_string())
+            .increment(1);
+        if self.request.is_passing_logged.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let request_id = String::from_utf8_lossy(self.request.id.as_bytes());
+        info!(
+            request:% = request_id, upstream:% = self.upstream.record.id, priority = self.claim.priority,
+            passed_over_ms = passed_over.as_millis() as u64, bound_ms = self.claim.max_passed_over.as_millis() as u64,
+            waiting = self.upstream.connection_queue.waiting_count() as u64;
+            "request goes first after its priority was passed over"
+        );
+    }
+
     /// Logs that the request is sent long after its upstream was chosen. `queued` is how long it waited for one of this
     /// instance's connections, and `connecting` for that connection to be open.
     fn log_long_wait(&self, queued: Duration, connecting: Duration) {
--- a/crates/anvilhubd/src/gateway/connection_warmer.rs
+++ b/crates/anvilhubd/src/gateway/connection_warmer.rs
@@ -58,7 +58,7 @@
         let gateway = Arc::clone(&self.gateway);
         tokio::spawn(async move {
             let _permit = permit;
-            let Ok(_connection_permit) = upstream.connection_permits.try_acquire() else {
+            let Some(_grant) = upstream.connection_queue.try_acquire() else {
                 return;
             };
             let result = upstream
--- a/crates/anvilhubd/src/gateway/fanout_plan.rs
+++ b/crates/anvilhubd/src/gateway/fanout_plan.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use anvilhub_coord::gateway::GatherCutoff;
+use anvilhub_coord::gateway::{CapacityClaim, GatherCutoff};
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
@@ -21,6 +21,8 @@
     pub(super) typical_latency: Duration,
     /// Time after an attempt is sent at which a hedge is due.
     pub(super) hedge_delay: Duration,
+    /// By what first attempts are compared with others that wait for a connection; its deadline is not used.
+    pub(super) claim: CapacityClaim,
     /// When the caller's request arrived at the tier, by the clock of this instance.
     pub(super) arrived_at: ClockTime,
 }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CutoffVerdict, HedgeRule, RankedReplica, ReplicaRanker, SkipRule, SubRequestState, TopRecords,
+    CapacityClaim, CutoffVerdict, HedgeRule, RankedReplica, ReplicaRanker, SkipRule,
+    SubRequestState, TopRecords,
 };
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
@@ -277,7 +278,7 @@
             .fleet
             .limits
             .record_send(&upstream.process, is_extra);
-        self.start_attempt(index, upstream);
+        self.start_attempt(index, upstream, is_extra);
         true
     }
 
@@ -305,7 +306,8 @@
     }
 
     /// Starts an attempt in the background; its outcome arrives at `report_receiver`.
-    fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>) {
+    fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>, is_extra: bool) {
+        let deadline = self.plan.arrived_at + self.plan.cutoff.final_cutoff;
         let gate = Arc::new(SendGate::default());
         let attempt = AttemptRun {
             gate: Arc::clone(&gate),
@@ -315,7 +317,12 @@
             route_state: Arc::clone(&self.route_state),
             repeat_policy: self.plan.repeat_policy,
             typical_latency: self.plan.typical_latency,
-            deadline: self.plan.arrived_at + self.plan.cutoff.final_cutoff,
+            deadline,
+            claim: CapacityClaim {
+                is_extra,
+                deadline,
+                ..self.plan.claim
+            },
         };
         let report_sender = self.report_sender.clone();
         let report_gate = Arc::clone(&gate);
@@ -367,6 +374,11 @@
                 sub_request.outcome = SubRequestOutcome::Ended(reason);
                 (true, SendCause::Resend)
             }
+            AttemptOutcome::Rejected { reason } => {
+                sub_request.send_count -= 1;
+                sub_request.outcome = SubRequestOutcome::Ended(format!("not_sent_{reason}"));
+                (true, SendCause::Resend)
+            }
             AttemptOutcome::Unsuitable => {
                 sub_request.send_count -= 1;
                 sub_request.outcome = SubRequestOutcome::Ended(
--- a/crates/anvilhubd/src/gateway/forwarded_request.rs
+++ b/crates/anvilhubd/src/gateway/forwarded_request.rs
@@ -1,3 +1,5 @@
+use std::sync::atomic::AtomicBool;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -23,6 +25,8 @@
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Whether the log has a line that the request was passed over.
+    pub(super) is_passing_logged: AtomicBool,
 }
 
 impl ForwardedRequest {
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -315,6 +315,7 @@
         Arc::new(TrackedUpstream::new(
             record.clone(),
             connection_share.max(MIN_CONNECTION_SHARE),
+            self.clock,
         ))
     }
 
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -1,9 +1,11 @@
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{
-    AnswerDeadline, GatherCutoff, HostName, RetryAdvice, RouteRule, RouteTarget, WeightedService,
+    AnswerDeadline, CapacityClaim, GatherCutoff, HostName, RetryAdvice, RouteRule, RouteTarget,
+    WeightedService,
 };
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::time::ClockTime;
@@ -282,6 +284,11 @@
             },
             typical_latency,
             hedge_delay,
+            claim: CapacityClaim::new(
+                rule.priority,
+                table.catalog.has_priorities(),
+                rule.latency_target,
+            ),
             arrived_at,
         };
         let run = FanoutRun::new(
@@ -392,6 +399,7 @@
         target,
         headers: head.headers,
         body,
+        is_passing_logged: AtomicBool::new(false),
     }
 }
 
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -7,14 +8,14 @@
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
 use log::info;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::daemon_clock::DaemonClock;
 use crate::pool::UpstreamConnection;
 use crate::routes::LockCell;
 
-use super::{GatewaySettings, IdleConnections, RefusalReason, RefusalWait};
+use super::{ConnectionQueue, GatewaySettings, IdleConnections, RefusalReason, RefusalWait};
 
 /// One process of an upstream: the record that it announced, what this instance observed of it, and the connections to
 /// it.
@@ -24,8 +25,8 @@
     pub(super) process: UpstreamProcess,
     pub(super) stats: LockCell<ReplicaStats>,
     pub(super) idle_connections: LockCell<IdleConnections>,
-    /// One permit for each connection that this instance may use at once.
-    pub(super) connection_permits: Semaphore,
+    /// The connections that this instance may use at once, and the attempts that wait for one.
+    pub(super) connection_queue: Arc<ConnectionQueue>,
     leaving_state: LockCell<LeavingState>,
     rest_state: LockCell<RestState>,
     /// Whether the upstream was removed, or its address belongs to another one.
@@ -35,13 +36,13 @@
 }
 
 impl TrackedUpstream {
-    pub(super) fn new(record: UpstreamRecord, max_connections: usize) -> Self {
+    pub(super) fn new(record: UpstreamRecord, max_connections: usize, clock: DaemonClock) -> Self {
         Self {
             process: record.process(),
             record,
             stats: LockCell::default(),
             idle_connections: LockCell::default(),
-            connection_permits: Semaphore::new(max_connections),
+            connection_queue: ConnectionQueue::new(max_connections, clock),
             leaving_state: LockCell::default(),
             rest_state: LockCell::default(),
             is_removed: AtomicBool::new(false),
