Send no hedge past attempts of a higher priority

Cause: a hedge could join the queue for an upstream's connections while first attempts of a higher priority waited there. Change: HedgeRule gets the priority of the route and the highest priority that waits for a connection to the upstream, and allows no hedge of a lower one. Measured: replica_ranker::lower_hedge_yields.

--- a/crates/anvilhub-coord/tests/replica_ranker.rs
+++ b/crates/anvilhub-coord/tests/replica_ranker.rs
@@ -84,9 +84,18 @@
         queue_rounds,
         ..replica(1.0)
     };
-    assert!(rule.allows(&with_queue(0.0)));
-    assert!(rule.allows(&with_queue(0.5)));
-    assert!(!rule.allows(&with_queue(1.0)));
+    assert!(rule.allows(&with_queue(0.0), 1, None));
+    assert!(rule.allows(&with_queue(0.5), 1, None));
+    assert!(!rule.allows(&with_queue(1.0), 1, None));
+}
+
+/// Guards against hedges that take connections for which first attempts of a higher priority wait.
+#[test]
+fn lower_hedge_yields() {
+    let rule = HedgeRule::default();
+    assert!(!rule.allows(&replica(1.0), 1, Some(0)));
+    assert!(rule.allows(&replica(1.0), 1, Some(1)));
+    assert!(rule.allows(&replica(1.0), 0, Some(1)));
 }
 
 /// An upstream whose record is missing after an outage was refused after the grace period of a leaving one, although it
--- a/crates/anvilhubd/src/gateway/connection_queue.rs
+++ b/crates/anvilhubd/src/gateway/connection_queue.rs
@@ -73,6 +73,12 @@
         result
     }
 
+    /// Returns the highest priority of the waiting attempts; `None` if none waits, or if the deployment's routes all have
+    /// the same.
+    pub(super) fn waiting_priority(&self) -> Option<u32> {
+        self.queue.with(|queue| queue.waiting_priority())
+    }
+
     /// Returns the number of waiting attempts.
     pub(super) fn waiting_count(&self) -> usize {
         self.queue.with(|queue| queue.waiting_count())
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -231,7 +231,14 @@
     fn send_to(&mut self, index: usize, cause: SendCause, choice: UpstreamChoice) -> bool {
         let now = self.gateway.clock.now();
         let (upstream, candidate) = choice;
-        if cause == SendCause::Hedge && !HedgeRule::default().allows(&candidate) {
+        let priority = self.plan.claim.priority;
+        if cause == SendCause::Hedge
+            && !HedgeRule::default().allows(
+                &candidate,
+                priority,
+                upstream.connection_queue.waiting_priority(),
+            )
+        {
             return false;
         }
         let sub_request = &mut self.sub_requests[index];
