Hold lower priorities back in front of busy upstreams

Cause: an upstream serves its queue in the order of arrival. Requests of lower priorities filled it and every connection, so that urgent ones stood behind them however they were ordered at the instance. Change: SendWindow admits one attempt of a lower priority to an upstream, and further ones only while the known requests there, with those of other instances, are fewer than its slots and one more, and while one connection stays free.

--- a/crates/anvilhub-coord/src/gateway/capacity_queue.rs
+++ b/crates/anvilhub-coord/src/gateway/capacity_queue.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 
-use super::{CapacityClaim, PriorityLevels};
+use super::{CapacityClaim, PriorityLevels, SendWindow, SlotLoad};
 use crate::routing::{QueueRank, UrgencyQueue};
 use crate::time::ClockTime;
 
@@ -46,6 +46,8 @@
 pub struct CapacityGrant<T> {
     /// The attempt.
     pub item: T,
+    /// Its claim.
+    pub claim: CapacityClaim,
     /// For how long its priority was passed over, if that reached the bound and is why the attempt goes first.
     pub passed_over: Option<Duration>,
 }
@@ -73,10 +75,16 @@
 /// Grants to higher priorities delay a priority at most up to its bound; after that it gets the next free unit, and the
 /// time is counted anew. So each priority gets at least one unit per bound, and an overload of low priorities does not
 /// displace high ones. Claims that are not ranked are granted in the order of arrival.
+///
+/// Attempts that share the upstream with higher priorities are held back while the upstream has as many requests as it can
+/// run, so that they wait where they can be overtaken.
 #[derive(Clone, Debug)]
 pub struct CapacityQueue<T> {
     capacity: u32,
     busy_count: u32,
+    /// Units in use by attempts that share the upstream with higher priorities.
+    lower_busy_count: u32,
+    window: SendWindow,
     queue: UrgencyQueue<WaitingAttempt<T>, CapacityClass>,
     levels: PriorityLevels,
     /// Usual time for which a unit is held, in microseconds.
@@ -84,11 +92,13 @@
 }
 
 impl<T> CapacityQueue<T> {
-    /// Creates a queue for `capacity` units, all of them free.
-    pub fn new(capacity: u32) -> Self {
+    /// Creates a queue for `capacity` units, all of them free, of an upstream with `slots`.
+    pub fn new(capacity: u32, slots: u32) -> Self {
         Self {
             capacity,
             busy_count: 0,
+            lower_busy_count: 0,
+            window: SendWindow::new(capacity, slots),
             queue: UrgencyQueue::new(usize::MAX),
             levels: PriorityLevels::default(),
             hold_micros: 0.0,
@@ -110,6 +120,11 @@
         self.levels.highest()
     }
 
+    /// Records the load that an answer of the upstream reports.
+    pub fn record_load(&mut self, now: ClockTime, load: SlotLoad) {
+        self.window.record_load(now, load, self.busy_count);
+    }
+
     /// Takes a unit if one is free and no attempt waits.
     #[must_use]
     pub fn try_take(&mut self) -> bool {
@@ -120,9 +135,27 @@
         is_free
     }
 
+    /// Takes a unit for an attempt if it may go before all waiting ones.
+    #[must_use]
+    pub fn try_take_for(&mut self, now: ClockTime, claim: &CapacityClaim) -> bool {
+        // While a unit is free, only attempts that are held back wait, which others may overtake.
+        let is_first = match claim.has_higher {
+            true => {
+                let (class, deadline) = sort_key(claim);
+                self.queue.count_ahead(class, deadline) == 0
+            }
+            false => true,
+        };
+        let is_granted = is_first && self.admits(now, claim);
+        if is_granted {
+            self.occupy(claim);
+        }
+        is_granted
+    }
+
     /// Grants a unit to an attempt, queues it or rejects it.
     pub fn offer(&mut self, now: ClockTime, claim: CapacityClaim, item: T) -> CapacityDecision<T> {
-        if self.try_take() {
+        if self.try_take_for(now, &claim) {
             return CapacityDecision::Granted(item);
         }
         let (class, deadline) = sort_key(&claim);
@@ -137,8 +170,17 @@
         CapacityDecision::Queued(CapacityTicket(self.queue.insert(class, deadline, waiting)))
     }
 
-    /// Frees a unit that was held for `held`, and grants free units to waiting attempts.
-    pub fn release(&mut self, now: ClockTime, held: Duration) -> CapacityRelease<T> {
+    /// Frees a unit that was held for `held`, and grants free units to waiting attempts. `has_higher` is that of the claim
+    /// for which the unit was taken.
+    pub fn release(
+        &mut self,
+        now: ClockTime,
+        held: Duration,
+        has_higher: bool,
+    ) -> CapacityRelease<T> {
+        if has_higher {
+            self.lower_busy_count = self.lower_busy_count.saturating_sub(1);
+        }
         let micros = held.as_micros() as f64;
         self.hold_micros = match self.hold_micros == 0.0 {
             true => micros,
@@ -160,12 +202,13 @@
                 release.expired.push(waiting.item);
                 continue;
             }
-            self.busy_count += 1;
+            self.occupy(&waiting.claim);
             if waiting.claim.is_ranked {
                 self.levels.record_grant(now, waiting.claim.priority);
             }
             release.granted.push(CapacityGrant {
                 item: waiting.item,
+                claim: waiting.claim,
                 passed_over,
             });
         }
@@ -180,10 +223,33 @@
     /// Returns the attempt that gets the next free unit, and for how long its priority was passed over if that is why.
     fn next(&self, now: ClockTime) -> Option<(CapacityTicket, Option<Duration>)> {
         let overdue = self.levels.overdue(now).and_then(|(priority, time)| {
-            let rank = self.queue.first_from((priority, false))?;
-            Some((CapacityTicket(rank), Some(time)))
+            let mut later = self.queue.iter_from((priority, false));
+            let (rank, waiting) = later.next()?;
+            let is_admitted = self.admits(now, &waiting.claim);
+            is_admitted.then_some((CapacityTicket(rank), Some(time)))
         });
-        overdue.or_else(|| Some((CapacityTicket(self.queue.first()?), None)))
+        overdue.or_else(|| {
+            let mut waiting = self.queue.iter_from((0, false));
+            let (rank, _) = waiting.find(|(_, waiting)| self.admits(now, &waiting.claim))?;
+            Some((CapacityTicket(rank), None))
+        })
+    }
+
+    /// Returns whether a unit is free that an attempt with this claim may use.
+    fn admits(&self, now: ClockTime, claim: &CapacityClaim) -> bool {
+        let is_free = self.busy_count < self.capacity;
+        let is_held_back = claim.has_higher
+            && !self
+                .window
+                .admits_lower(now, self.busy_count, self.lower_busy_count);
+        is_free && !is_held_back
+    }
+
+    fn occupy(&mut self, claim: &CapacityClaim) {
+        self.busy_count += 1;
+        if claim.has_higher {
+            self.lower_busy_count += 1;
+        }
     }
 
     fn remove(&mut self, ticket: CapacityTicket) -> Option<WaitingAttempt<T>> {
--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod route_name;
 mod route_rule;
 mod route_target;
+mod send_window;
 mod skip_rule;
 mod slot_load;
 mod sub_request_state;
@@ -66,6 +67,7 @@
 pub use weighted_service::WeightedService;
 
 use priority_levels::PriorityLevels;
+use send_window::SendWindow;
 
 /// Result of a route decision.
 pub type Result<T, E = RouteError> = std::result::Result<T, E>;
--- a/crates/anvilhub-coord/src/gateway/route_catalog.rs
+++ b/crates/anvilhub-coord/src/gateway/route_catalog.rs
@@ -47,6 +47,8 @@
     rules: Vec<RouteRule>,
     /// Whether the rules have different priorities.
     has_priorities: bool,
+    /// For each rule, whether a rule of a higher priority uses one of its services.
+    has_higher: Vec<bool>,
     /// Indexes of the rules of each host, longest prefix first.
     by_host: HashMap<HostName, Vec<usize>>,
 }
@@ -66,6 +68,7 @@
             .any(|pair| pair[0].priority != pair[1].priority);
         Self {
             version,
+            has_higher: find_lower_rules(&rules),
             rules,
             has_priorities,
             by_host,
@@ -83,6 +86,11 @@
         self.has_priorities
     }
 
+    /// Returns whether a route of a higher priority uses one of the services of the route with this index.
+    pub fn has_higher(&self, index: usize) -> bool {
+        self.has_higher[index]
+    }
+
     /// Returns the index of the route of `host` with the longest prefix that matches `path`.
     ///
     /// # Errors
@@ -99,3 +107,19 @@
         })
     }
 }
+
+/// Returns for each rule whether one of a higher priority uses one of its services.
+fn find_lower_rules(rules: &[RouteRule]) -> Vec<bool> {
+    let mut highest: HashMap<&ServiceName, u32> = HashMap::new();
+    for rule in rules {
+        for service in rule.target.services() {
+            let priority = highest.entry(service).or_insert(rule.priority);
+            *priority = rule.priority.min(*priority);
+        }
+    }
+    let has_higher = |rule: &RouteRule| {
+        let mut services = rule.target.services().into_iter();
+        services.any(|service| highest[service] < rule.priority)
+    };
+    rules.iter().map(has_higher).collect()
+}
--- a/crates/anvilhub-coord/src/routing/urgency_queue.rs
+++ b/crates/anvilhub-coord/src/routing/urgency_queue.rs
@@ -63,15 +63,10 @@
         rank
     }
 
-    /// Returns the position of the first item.
-    pub(crate) fn first(&self) -> Option<QueueRank<C>> {
-        self.items.first_key_value().map(|(rank, _)| *rank)
-    }
-
-    /// Returns the position of the first item that is of `class` or a later one.
-    pub(crate) fn first_from(&self, class: C) -> Option<QueueRank<C>> {
-        let mut later = self.items.range((class, ClockTime(0), 0)..);
-        later.next().map(|(rank, _)| *rank)
+    /// Returns the items of `class` and of later ones with their positions, the first one first.
+    pub(crate) fn iter_from(&self, class: C) -> impl Iterator<Item = (QueueRank<C>, &T)> {
+        let later = self.items.range((class, ClockTime(0), 0)..);
+        later.map(|(rank, item)| (*rank, item))
     }
 
     /// Removes and returns the item at this position.
--- a/crates/anvilhub-coord/tests/capacity_queue.rs
+++ b/crates/anvilhub-coord/tests/capacity_queue.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CapacityClaim, CapacityDecision, CapacityQueue, CapacityTicket, RouteCatalog,
+    CapacityClaim, CapacityDecision, CapacityQueue, CapacityTicket, RouteCatalog, SlotLoad,
 };
 use anvilhub_coord::ids::SheetVersion;
 use anvilhub_coord::time::ClockTime;
@@ -29,7 +29,7 @@
 
 /// Returns a queue whose only unit is in use.
 fn busy_queue<T>() -> CapacityQueue<T> {
-    let mut queue = CapacityQueue::new(1);
+    let mut queue = CapacityQueue::new(1, 1);
     assert!(queue.try_take());
     queue
 }
@@ -48,7 +48,7 @@
 
 /// Returns the attempts that get the unit that is freed at this time.
 fn release<T>(queue: &mut CapacityQueue<T>, now_ms: u64) -> Vec<T> {
-    let release = queue.release(ClockTime::from_millis(now_ms), HOLD);
+    let release = queue.release(ClockTime::from_millis(now_ms), HOLD, false);
     release
         .granted
         .into_iter()
@@ -102,7 +102,9 @@
     let mut low_grants = Vec::new();
     for now_ms in (20..=400).step_by(20) {
         enqueue(&mut queue, now_ms, claim(0, 60_000), 0);
-        let granted = queue.release(ClockTime::from_millis(now_ms), HOLD).granted;
+        let granted = queue
+            .release(ClockTime::from_millis(now_ms), HOLD, false)
+            .granted;
         for grant in granted.iter().filter(|grant| grant.item > 0) {
             assert!(grant.passed_over.is_some_and(|time| time >= TARGET / 2));
             low_grants.push((now_ms, grant.item));
@@ -137,7 +139,7 @@
     assert_eq!(decision, CapacityDecision::Rejected(99));
     enqueue(&mut queue, 20, claim(1, 131), 10);
     enqueue(&mut queue, 20, claim(0, 100), 11);
-    let release = queue.release(ClockTime::from_millis(200), HOLD);
+    let release = queue.release(ClockTime::from_millis(200), HOLD, false);
     assert_eq!(release.expired, [11]);
     assert_eq!(release.granted.len(), 1);
 }
@@ -155,30 +157,79 @@
     assert_eq!(release(&mut queue, 10), ["next"]);
 }
 
+fn lower(deadline_ms: u64) -> CapacityClaim {
+    CapacityClaim {
+        has_higher: true,
+        ..claim(1, deadline_ms)
+    }
+}
+
+/// Lower priorities filled the queue of the upstream, where higher ones cannot overtake them. The highest priority may still
+/// use every connection.
+#[test]
+fn lower_held_back() {
+    let mut queue = CapacityQueue::new(4, 1);
+    let now = ClockTime::default();
+    assert!(queue.try_take_for(now, &lower(900)));
+    assert!(queue.try_take_for(now, &lower(900)));
+    assert!(!queue.try_take_for(now, &lower(900)));
+    enqueue(&mut queue, 0, lower(900), "held");
+    assert!(queue.try_take_for(now, &claim(0, 900)));
+    assert!(queue.try_take_for(now, &claim(0, 900)));
+    assert_eq!(queue.busy_count(), 4);
+    // The two requests of the highest priority fill the upstream.
+    assert!(queue.release(now, HOLD, true).granted.is_empty());
+    assert_eq!(queue.release(now, HOLD, true).granted.len(), 1);
+}
+
+/// Requests of other instances count, but an attempt is held back only while another one is in flight, whose end wakes it,
+/// and only while the report is recent.
+#[test]
+fn others_hold_back() {
+    let mut queue: CapacityQueue<()> = CapacityQueue::new(6, 2);
+    let load = SlotLoad {
+        running: 2,
+        waiting: 3,
+        ..SlotLoad::default()
+    };
+    queue.record_load(ClockTime::default(), load);
+    assert!(queue.try_take_for(ClockTime::from_millis(149), &lower(900)));
+    assert!(!queue.try_take_for(ClockTime::from_millis(149), &lower(900)));
+    assert!(queue.try_take_for(ClockTime::from_millis(150), &lower(900)));
+}
+
 proptest! {
     /// Whatever the order of arrivals, releases and withdrawals, no unit is lost or granted twice, and no attempt waits
     /// beside a free unit.
     #[test]
     fn units_conserved(steps in prop::collection::vec((0_u8..4, 0_u32..3, any::<bool>()), 1..200)) {
-        let mut queue = CapacityQueue::new(3);
+        let mut queue = CapacityQueue::new(3, 1);
         let mut tickets = Vec::new();
-        let mut busy = 0;
+        let mut busy: Vec<bool> = Vec::new();
         for (now_ms, (step, priority, is_extra)) in (0_u64..).zip(steps) {
             let now = ClockTime::from_millis(now_ms * 10);
-            let claim = CapacityClaim { is_extra, ..claim(priority, now_ms * 10 + 300) };
+            let has_higher = priority > 0;
+            let claim = CapacityClaim { is_extra, has_higher, ..claim(priority, now_ms * 10 + 300) };
             match step {
                 0 | 1 => match queue.offer(now, claim, ()) {
-                    CapacityDecision::Granted(()) => busy += 1,
+                    CapacityDecision::Granted(()) => busy.push(has_higher),
                     CapacityDecision::Queued(ticket) => tickets.push(ticket),
                     CapacityDecision::Rejected(()) => {}
                 },
-                2 if busy > 0 => busy = busy - 1 + queue.release(now, HOLD).granted.len() as u32,
+                2 if !busy.is_empty() => {
+                    let has_higher = busy.remove(0);
+                    let granted = queue.release(now, HOLD, has_higher).granted;
+                    busy.extend(granted.into_iter().map(|grant| grant.claim.has_higher));
+                }
                 3 => drop(tickets.pop().and_then(|ticket| queue.withdraw(ticket))),
                 _ => {}
             }
-            prop_assert_eq!(queue.busy_count(), busy);
-            prop_assert!(busy <= 3);
-            prop_assert!(busy == 3 || queue.waiting_count() == 0);
+            prop_assert_eq!(queue.busy_count() as usize, busy.len());
+            prop_assert!(busy.len() <= 3);
+            let lower_count = busy.iter().filter(|has_higher| **has_higher).count();
+            prop_assert!(lower_count <= 2, "one unit is kept free for the highest priority");
+            let is_wakened = busy.len() == 3 || lower_count > 0 && queue.waiting_priority() != Some(0);
+            prop_assert!(is_wakened || queue.waiting_count() == 0);
         }
     }
 }
--- a/crates/anvilhub-coord/tests/capacity_replay.rs
+++ b/crates/anvilhub-coord/tests/capacity_replay.rs
@@ -3,7 +3,9 @@
 
 use std::collections::VecDeque;
 
-use anvilhub_coord::gateway::{CapacityClaim, CapacityDecision, CapacityQueue, CapacityTicket};
+use anvilhub_coord::gateway::{
+    CapacityClaim, CapacityDecision, CapacityQueue, CapacityTicket, SlotLoad,
+};
 use anvilhub_coord::time::ClockTime;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,6 +29,17 @@
 /// Priority, work in microseconds, target in milliseconds and rate a second of alerts and sweeps.
 const KINDS: [(u32, u64, u64, f64); 2] = [(0, 6_700, 50, 15.0), (1, 20_000, 200, 25.0)];
 
+/// How connections are granted.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    /// In the order of arrival.
+    Arrival,
+    /// By priority.
+    Priority,
+    /// By priority, and lower priorities are held back in front of busy upstreams.
+    Window,
+}
+
 #[derive(Clone, Copy)]
 struct Arrival {
     at_ms: u64,
@@ -57,9 +70,9 @@
 }
 
 /// Replays one shard and adds one to each request that it answers within the target.
-fn replay_shard(shard: u64, arrivals: &[Arrival], is_ranked: bool, answered: &mut [usize]) {
+fn replay_shard(shard: u64, arrivals: &[Arrival], policy: Policy, answered: &mut [usize]) {
     let mut queues: Vec<CapacityQueue<usize>> = (0..INSTANCES)
-        .map(|_| CapacityQueue::new(CONNECTIONS))
+        .map(|_| CapacityQueue::new(CONNECTIONS, SLOTS as u32))
         .collect();
     let mut waiting: Vec<(usize, CapacityTicket)> = Vec::new();
     let mut upstream: VecDeque<SentAttempt> = VecDeque::new();
@@ -67,6 +80,7 @@
     for now_ms in 0..RUN_MS {
         let now = ClockTime::from_millis(now_ms);
         let target_of = |request: usize| arrivals[request].at_ms + KINDS[arrivals[request].kind].2;
+        let has_higher = |request: usize| policy == Policy::Window && arrivals[request].kind == 1;
         let sent = |request: usize| SentAttempt {
             request,
             work_left_us: KINDS[arrivals[request].kind].1,
@@ -76,7 +90,12 @@
             let (priority, _, target_ms, _) = KINDS[arrivals[next].kind];
             let claim = CapacityClaim {
                 deadline: ClockTime::from_millis(target_of(next)),
-                ..CapacityClaim::new(priority, is_ranked, Duration::from_millis(target_ms))
+                has_higher: has_higher(next),
+                ..CapacityClaim::new(
+                    priority,
+                    policy != Policy::Arrival,
+                    Duration::from_millis(target_ms),
+                )
             };
             match queues[next % INSTANCES].offer(now, claim, next) {
                 CapacityDecision::Granted(request) => upstream.push_back(sent(request)),
@@ -114,20 +133,28 @@
             }
         }
         upstream.retain(|attempt| attempt.work_left_us > 0);
+        let running = upstream.len().min(SLOTS);
+        let load = SlotLoad {
+            running: running as u32,
+            waiting: (upstream.len() - running) as u32,
+            ..SlotLoad::default()
+        };
         for request in released {
             let held = Duration::from_millis(now_ms - arrivals[request].at_ms);
-            let release = queues[request % INSTANCES].release(now, held);
+            let queue = &mut queues[request % INSTANCES];
+            queue.record_load(now, load);
+            let release = queue.release(now, held, has_higher(request));
             upstream.extend(release.granted.into_iter().map(|grant| sent(grant.item)));
         }
     }
 }
 
 /// Returns the mean payoff of alerts and of sweeps: the square of the share of shards that answered in time.
-fn replay(is_ranked: bool) -> [f64; 2] {
+fn replay(policy: Policy) -> [f64; 2] {
     let arrivals = arrivals();
     let mut answered = vec![0; arrivals.len()];
     for shard in 0..SHARDS {
-        replay_shard(shard as u64, &arrivals, is_ranked, &mut answered);
+        replay_shard(shard as u64, &arrivals, policy, &mut answered);
     }
     [0, 1].map(|kind| {
         let of_kind = arrivals
@@ -142,11 +169,13 @@
 
 #[test]
 fn urgent_kind_gains() {
-    let [alerts_before, sweeps_before] = replay(false);
-    let [alerts_after, sweeps_after] = replay(true);
-    println!(
-        "alerts {alerts_before:.3} {alerts_after:.3}, sweeps {sweeps_before:.3} {sweeps_after:.3}"
-    );
-    assert!(alerts_after > alerts_before);
-    assert!(sweeps_after > sweeps_before - 0.01);
+    let [alerts_before, sweeps_before] = replay(Policy::Arrival);
+    let [alerts_ranked, sweeps_ranked] = replay(Policy::Priority);
+    let [alerts, sweeps] = replay(Policy::Window);
+    println!("alerts {alerts_before:.3} {alerts_ranked:.3} {alerts:.3}");
+    println!("sweeps {sweeps_before:.3} {sweeps_ranked:.3} {sweeps:.3}");
+    assert!(alerts_ranked > alerts_before);
+    assert!(alerts > alerts_ranked);
+    assert!(sweeps_ranked > sweeps_before - 0.01);
+    assert!(sweeps > sweeps_before - 0.01);
 }
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -43,6 +43,7 @@
 mod rest_state;
 mod retry_advice;
 mod retry_budget;
+mod route_priorities;
 mod scenario;
 mod scenario_files;
 mod settling_rule;
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -172,7 +172,7 @@
     /// Fails with the outcome of the attempt, which has sent nothing.
     async fn acquire_connection(&self) -> Result<ConnectionGrant, AttemptOutcome> {
         let queue = &self.upstream.connection_queue;
-        if let Some(grant) = queue.try_acquire() {
+        if let Some(grant) = queue.try_acquire_for(&self.claim) {
             return Ok(grant);
         }
         let leaving_grace = self.gateway.settings.leaving_grace_period;
@@ -295,6 +295,7 @@
             self.upstream
                 .stats
                 .with(|stats| stats.record_load(now, load));
+            self.upstream.connection_queue.record_load(now, load);
         }
         if !metadata.is_misdirected {
             if metadata.is_leaving {
--- a/crates/anvilhubd/src/gateway/connection_queue.rs
+++ b/crates/anvilhubd/src/gateway/connection_queue.rs
@@ -3,8 +3,9 @@
 
 use anvilhub_coord::gateway::{
     CapacityClaim, CapacityDecision, CapacityQueue, CapacityRelease, CapacityTicket,
-    RejectionReason,
+    RejectionReason, SlotLoad,
 };
+use anvilhub_coord::ids::SlotCount;
 use anvilhub_coord::time::ClockTime;
 use metrics::{counter, gauge, histogram};
 use tokio::sync::oneshot;
@@ -23,10 +24,11 @@
 }
 
 impl ConnectionQueue {
-    pub(super) fn new(max_connections: usize, clock: DaemonClock) -> Arc<Self> {
+    /// Creates the queue for `max_connections` to an upstream with `slots`.
+    pub(super) fn new(max_connections: usize, slots: SlotCount, clock: DaemonClock) -> Arc<Self> {
         let capacity = u32::try_from(max_connections).unwrap_or(u32::MAX);
         Arc::new(Self {
-            queue: LockCell::new(CapacityQueue::new(capacity)),
+            queue: LockCell::new(CapacityQueue::new(capacity, slots.get())),
             clock,
         })
     }
@@ -34,7 +36,22 @@
     /// Takes a connection if one is free and no attempt waits.
     pub(super) fn try_acquire(self: &Arc<Self>) -> Option<ConnectionGrant> {
         let is_free = self.queue.with(CapacityQueue::try_take);
-        is_free.then(|| self.create_grant(None))
+        is_free.then(|| self.create_grant(false, None))
+    }
+
+    /// Takes a connection for an attempt if it may go before all waiting ones.
+    pub(super) fn try_acquire_for(
+        self: &Arc<Self>,
+        claim: &CapacityClaim,
+    ) -> Option<ConnectionGrant> {
+        let now = self.clock.now();
+        let is_granted = self.queue.with(|queue| queue.try_take_for(now, claim));
+        is_granted.then(|| self.create_grant(claim.has_higher, None))
+    }
+
+    /// Records the load that an answer of the upstream reports.
+    pub(super) fn record_load(&self, now: ClockTime, load: SlotLoad) {
+        self.queue.with(|queue| queue.record_load(now, load));
     }
 
     /// Waits for a connection until the deadline of `claim`. Dropping the future ends the wait.
@@ -47,7 +64,7 @@
         let now = self.clock.now();
         let decision = self.queue.with(|queue| queue.offer(now, claim, sender));
         let ticket = match decision {
-            CapacityDecision::Granted(_) => return Ok(self.create_grant(None)),
+            CapacityDecision::Granted(_) => return Ok(self.create_grant(claim.has_higher, None)),
             CapacityDecision::Rejected(_) => {
                 record_rejection(&claim, RejectionReason::TooLate);
                 return Err(RejectionReason::TooLate);
@@ -84,18 +101,25 @@
         self.queue.with(|queue| queue.waiting_count())
     }
 
-    fn create_grant(self: &Arc<Self>, passed_over: Option<Duration>) -> ConnectionGrant {
+    fn create_grant(
+        self: &Arc<Self>,
+        has_higher: bool,
+        passed_over: Option<Duration>,
+    ) -> ConnectionGrant {
         ConnectionGrant {
             queue: Arc::clone(self),
             granted_at: self.clock.now(),
+            has_higher,
             passed_over,
         }
     }
 
-    fn release(self: &Arc<Self>, granted_at: ClockTime) {
+    fn release(self: &Arc<Self>, granted_at: ClockTime, has_higher: bool) {
         let now = self.clock.now();
         let held = now.since(granted_at);
-        let release = self.queue.with(|queue| queue.release(now, held));
+        let release = self
+            .queue
+            .with(|queue| queue.release(now, held, has_higher));
         self.notify_waiters(release);
     }
 
@@ -108,7 +132,8 @@
             let _ = waiter.send(Err(RejectionReason::Expired));
         }
         for grant in release.granted {
-            let _ = grant.item.send(Ok(self.create_grant(grant.passed_over)));
+            let connection = self.create_grant(grant.claim.has_higher, grant.passed_over);
+            let _ = grant.item.send(Ok(connection));
         }
     }
 }
@@ -126,6 +151,8 @@
 pub(super) struct ConnectionGrant {
     queue: Arc<ConnectionQueue>,
     granted_at: ClockTime,
+    /// Whether it was granted to a route that shares the upstream with higher priorities.
+    has_higher: bool,
     passed_over: Option<Duration>,
 }
 
@@ -138,7 +165,7 @@
 
 impl Drop for ConnectionGrant {
     fn drop(&mut self) {
-        self.queue.release(self.granted_at);
+        self.queue.release(self.granted_at, self.has_higher);
     }
 }
 
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -284,11 +284,14 @@
             },
             typical_latency,
             hedge_delay,
-            claim: CapacityClaim::new(
-                rule.priority,
-                table.catalog.has_priorities(),
-                rule.latency_target,
-            ),
+            claim: CapacityClaim {
+                has_higher: table.catalog.has_higher(route_index),
+                ..CapacityClaim::new(
+                    rule.priority,
+                    table.catalog.has_priorities(),
+                    rule.latency_target,
+                )
+            },
             arrived_at,
         };
         let run = FanoutRun::new(
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -39,10 +39,10 @@
     pub(super) fn new(record: UpstreamRecord, max_connections: usize, clock: DaemonClock) -> Self {
         Self {
             process: record.process(),
+            connection_queue: ConnectionQueue::new(max_connections, record.slots, clock),
             record,
             stats: LockCell::default(),
             idle_connections: LockCell::default(),
-            connection_queue: ConnectionQueue::new(max_connections, clock),
             leaving_state: LockCell::default(),
             rest_state: LockCell::default(),
             is_removed: AtomicBool::new(false),
