Merge the queue for connections by priority and deadline

Change: an attempt that was rejected for its deadline has missed its upstream, so that the room under the limit of a cold upstream is given back.

--- a/crates/anvilhub-coord/src/gateway/mod.rs
+++ b/crates/anvilhub-coord/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 mod answer_size;
 mod caller_delay;
 mod caller_latency;
+mod capacity_claim;
+mod capacity_queue;
 mod departed_upstreams;
 mod evacuation_state;
 mod gather_cutoff;
@@ -13,6 +15,7 @@
 mod host_name;
 mod leaving_state;
 mod opening_time;
+mod priority_levels;
 mod remote_cost;
 mod remote_saving;
 mod removal_rule;
@@ -25,6 +28,7 @@
 mod route_name;
 mod route_rule;
 mod route_target;
+mod send_window;
 mod skip_rule;
 mod slot_load;
 mod spillover_share;
@@ -39,6 +43,11 @@
 pub use answer_size::AnswerSize;
 pub use caller_delay::CallerDelay;
 pub use caller_latency::CallerLatency;
+pub use capacity_claim::CapacityClaim;
+pub use capacity_queue::{
+    CapacityDecision, CapacityGrant, CapacityQueue, CapacityRelease, CapacityTicket,
+    RejectionReason,
+};
 pub use departed_upstreams::DepartedUpstreams;
 pub use evacuation_state::EvacuationState;
 pub use gather_cutoff::{CutoffVerdict, GatherCutoff};
@@ -69,5 +78,8 @@
 pub use upstream_record::UpstreamRecord;
 pub use weighted_service::WeightedService;
 
+use priority_levels::PriorityLevels;
+use send_window::SendWindow;
+
 /// Result of a route decision.
 pub type Result<T, E = RouteError> = std::result::Result<T, E>;
--- a/crates/anvilhub-coord/src/gateway/route_catalog.rs
+++ b/crates/anvilhub-coord/src/gateway/route_catalog.rs
@@ -50,6 +50,10 @@
     /// Services by name.
     pub services: HashMap<ServiceName, ServiceLimits>,
     rules: Vec<RouteRule>,
+    /// Whether the rules have different priorities.
+    has_priorities: bool,
+    /// For each rule, whether a rule of a higher priority uses one of its services.
+    has_higher: Vec<bool>,
     /// Indexes of the rules of each host, longest prefix first.
     by_host: HashMap<HostName, Vec<usize>>,
 }
@@ -64,9 +68,14 @@
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|&index| std::cmp::Reverse(rules[index].prefix.len()));
         }
+        let has_priorities = rules
+            .windows(2)
+            .any(|pair| pair[0].priority != pair[1].priority);
         Self {
             version,
+            has_higher: find_lower_rules(&rules),
             rules,
+            has_priorities,
             by_host,
             ..Self::default()
         }
@@ -77,6 +86,16 @@
         &self.rules
     }
 
+    /// Returns whether the routes have different priorities. If not, attempts get scarce capacity in the order of arrival.
+    pub fn has_priorities(&self) -> bool {
+        self.has_priorities
+    }
+
+    /// Returns whether a route of a higher priority uses one of the services of the route with this index.
+    pub fn has_higher(&self, index: usize) -> bool {
+        self.has_higher[index]
+    }
+
     /// Returns the index of the route of `host` with the longest prefix that matches `path`.
     ///
     /// # Errors
@@ -93,3 +112,19 @@
         })
     }
 }
+
+/// Returns for each rule whether one of a higher priority uses one of its services.
+fn find_lower_rules(rules: &[RouteRule]) -> Vec<bool> {
+    let mut highest: HashMap<&ServiceName, u32> = HashMap::new();
+    for rule in rules {
+        for service in rule.target.services() {
+            let priority = highest.entry(service).or_insert(rule.priority);
+            *priority = rule.priority.min(*priority);
+        }
+    }
+    let has_higher = |rule: &RouteRule| {
+        let mut services = rule.target.services().into_iter();
+        services.any(|service| highest[service] < rule.priority)
+    };
+    rules.iter().map(has_higher).collect()
+}
--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -1,4 +1,4 @@
-use anvilhub_coord::gateway::FailureKind;
+use anvilhub_coord::gateway::{FailureKind, RejectionReason};
 use anvilhub_coord::ids::ByteSize;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -33,6 +33,8 @@
     NotRun { status: StatusCode },
     /// The request was not sent, for this reason.
     NotSent { reason: String },
+    /// The request was not sent, because it got no connection that could serve it before its deadline.
+    Rejected { reason: RejectionReason },
     /// The request was not sent, because the run that it belongs to has ended.
     Withdrawn,
     /// The request was not sent, because the upstream was removed, is leaving, rests, is cold or is evacuated.
@@ -45,7 +47,9 @@
     /// Returns whether the upstream got no request: it was not sent, or another upstream answers at the address.
     pub(super) fn has_missed_upstream(&self) -> bool {
         match self {
-            Self::NotSent { .. } | Self::Withdrawn | Self::Unsuitable => true,
+            Self::NotSent { .. } | Self::Withdrawn | Self::Rejected { .. } | Self::Unsuitable => {
+                true
+            }
             Self::NotRun { status } => *status == StatusCode::MISDIRECTED_REQUEST,
             Self::Answered(_) | Self::FailedAtUpstream(_) | Self::Unknown { .. } => false,
         }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use anvilhub_coord::gateway::{
-    CutoffVerdict, HedgeRule, RankedReplica, RemoteCost, ReplicaRanker, SkipRule, SubRequestState,
-    TopRecords,
+    CapacityClaim, CutoffVerdict, HedgeRule, RankedReplica, RemoteCost, ReplicaRanker, SkipRule,
+    SubRequestState, TopRecords,
 };
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
@@ -248,7 +248,14 @@
     fn send_to(&mut self, index: usize, cause: SendCause, choice: UpstreamChoice) -> bool {
         let now = self.gateway.clock.now();
         let (upstream, candidate) = choice;
-        if cause == SendCause::Hedge && !HedgeRule::default().allows(&candidate) {
+        let priority = self.plan.claim.priority;
+        if cause == SendCause::Hedge
+            && !HedgeRule::default().allows(
+                &candidate,
+                priority,
+                upstream.connection_queue.waiting_priority(),
+            )
+        {
             return false;
         }
         let sub_request = &mut self.sub_requests[index];
@@ -296,7 +303,7 @@
             .limits
             .record_send(&upstream.process, is_extra);
         self.gateway.fleet.warmups.reserve(&upstream.process);
-        self.start_attempt(index, upstream);
+        self.start_attempt(index, upstream, is_extra);
         true
     }
 
@@ -337,7 +344,8 @@
     }
 
     /// Starts an attempt in the background; its outcome arrives at `report_receiver`.
-    fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>) {
+    fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>, is_extra: bool) {
+        let deadline = self.plan.arrived_at + self.plan.cutoff.final_cutoff;
         let gate = Arc::new(SendGate::default());
         // The cost of leaving contains the extra round trip; the upstream's observed slowdown must not count it again.
         let extra_round_trip = match self.transfer_time {
@@ -352,7 +360,12 @@
             route_state: Arc::clone(&self.route_state),
             repeat_policy: self.plan.repeat_policy,
             typical_latency: self.plan.typical_latency + extra_round_trip,
-            deadline: self.plan.arrived_at + self.plan.cutoff.final_cutoff,
+            deadline,
+            claim: CapacityClaim {
+                is_extra,
+                deadline,
+                ..self.plan.claim
+            },
         };
         let report_sender = self.report_sender.clone();
         let report_gate = Arc::clone(&gate);
@@ -404,6 +417,11 @@
                 sub_request.outcome = SubRequestOutcome::Ended(reason);
                 (true, SendCause::Resend)
             }
+            AttemptOutcome::Rejected { reason } => {
+                sub_request.send_count -= 1;
+                sub_request.outcome = SubRequestOutcome::Ended(format!("not_sent_{reason}"));
+                (true, SendCause::Resend)
+            }
             AttemptOutcome::Unsuitable => {
                 sub_request.send_count -= 1;
                 sub_request.outcome = SubRequestOutcome::Ended(
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -356,6 +356,7 @@
             self.distances
                 .distance(&record.failure_domain, &self.settings, self.clock),
             self.domains.state(&record.failure_domain),
+            self.clock,
         ))
     }
 
--- a/crates/anvilhubd/src/gateway/tracked_upstream.rs
+++ b/crates/anvilhubd/src/gateway/tracked_upstream.rs
@@ -8,7 +8,7 @@
 use anvilhub_coord::limit::{SendPermit, UpstreamProcess};
 use anvilhub_coord::time::ClockTime;
 use log::info;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::daemon_clock::DaemonClock;
@@ -16,7 +16,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    DomainState, GatewaySettings, IdleConnections, RefusalReason, RefusalWait, UpstreamDistance,
+    ConnectionQueue, DomainState, GatewaySettings, IdleConnections, RefusalReason, RefusalWait,
+    UpstreamDistance,
 };
 
 /// One process of an upstream: the record that it announced, what this instance observed of it, and the connections to
@@ -27,8 +28,8 @@
     pub(super) process: UpstreamProcess,
     pub(super) stats: LockCell<ReplicaStats>,
     pub(super) idle_connections: LockCell<IdleConnections>,
-    /// One permit for each connection that this instance may use at once.
-    pub(super) connection_permits: Semaphore,
+    /// The connections that this instance may use at once, and the attempts that wait for one.
+    pub(super) connection_queue: Arc<ConnectionQueue>,
     pub(super) distance: UpstreamDistance,
     leaving_state: LockCell<LeavingState>,
     rest_state: LockCell<RestState>,
@@ -46,13 +47,14 @@
         max_connections: usize,
         distance: UpstreamDistance,
         domain_state: Arc<DomainState>,
+        clock: DaemonClock,
     ) -> Self {
         Self {
             process: record.process(),
+            connection_queue: ConnectionQueue::new(max_connections, record.slots, clock),
             record,
             stats: LockCell::default(),
             idle_connections: LockCell::default(),
-            connection_permits: Semaphore::new(max_connections),
             distance,
             leaving_state: LockCell::default(),
             rest_state: LockCell::default(),
