Bound the memory and connections that untrusted clients hold

Cause: bodies were collected frame by frame without a common limit, each frame keeping the connection's read buffer; answers that clients did not take were held without limit; and connections that waited for the rest of a request kept new ones out.

Change: a ledger counts heads, bodies and answers by connection. When they do not fit, connections without progress are closed, the largest first, then the largest of all, and else the new body is refused with 503, Retry-After and Connection: close, before anything is sent to an upstream. Bodies are copied into one buffer, and reads are at most 4 KiB. When connections run out, the one without progress for the longest time is closed; a client that takes nothing of its answer for 10 s is disconnected. MemoryPlan derives the limits from memory_mb, whose minimum is now 64: less has no room for an answer of 8 MiB. Relays decline requests that they have no memory for. The product's own interface uses the same server and body reader, with a fixed limit of 512 MB.

--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod keyspace;
 pub mod limit;
 pub mod membership;
+pub mod memory;
 pub mod mutation;
 pub mod routing;
 pub mod sheet;
--- a/crates/anvilhubd/src/caller/query_handler.rs
+++ b/crates/anvilhubd/src/caller/query_handler.rs
@@ -2,15 +2,14 @@
 use std::time::Duration;
 
 use anvilhub_coord::border::query::{QueryAnswer, QueryOutcome, QueryRequest};
-use anvilhub_coord::ids::{ByteSize, RequestId};
+use anvilhub_coord::ids::RequestId;
 use anvilhub_coord::ticket::RequestOrigin;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use log::info;
 use metrics::counter;
-use tokio::time::timeout;
 
 use crate::entry_context::EntryContext;
 use crate::fanout::FanoutRunner;
@@ -19,7 +18,9 @@
     ServiceFilter,
 };
 
-use super::{HttpHandler, UnreadableQuery};
+use crate::memory::ClientAccount;
+
+use super::{BodyError, BodyReader, HttpHandler, UnreadableQuery};
 
 /// Value of the `Retry-After` header of refused requests, in seconds. Requests wait in queues for less than a second,
 /// and one second is the smallest value that the header can express.
@@ -35,16 +36,19 @@
 impl HttpHandler for QueryHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let _guard = self.context.begin_request();
-        let (status, answer) = match self.read_query(request).await {
-            Ok(query) => self.answer_query(query, RequestOrigin::Caller).await,
-            Err(unreadable) => refuse(
-                &unreadable.error,
-                unknown_request_id(),
-                unreadable.may_hold_ticket,
+        let (is_body_left, (status, answer)) = match self.read_query(request).await {
+            Ok(query) => (false, self.answer_query(query, RequestOrigin::Caller).await),
+            Err(unreadable) => (
+                unreadable.error.leaves_body(),
+                refuse(
+                    &unreadable.error,
+                    unknown_request_id(),
+                    unreadable.may_hold_ticket,
+                ),
             ),
         };
         let mut response = build_response(status, &answer);
-        if self.context.is_draining() {
+        if is_body_left || self.context.is_draining() {
             response.headers_mut().insert(
                 header::CONNECTION,
                 header::HeaderValue::from_static("close"),
@@ -88,26 +92,32 @@
                 path,
             }));
         }
-        let body = self.read_body(request.into_body()).await;
+        let body = self.read_body(request).await;
         let body = body.map_err(UnreadableQuery::incomplete_body)?;
         serde_json::from_slice(&body)
             .map_err(|error| UnreadableQuery::malformed_body(&error, &body))
     }
 
-    /// Reads the body of a request within the limits of size and time.
-    async fn read_body(&self, body: Incoming) -> Result<Bytes> {
+    /// Reads the body of a request within the limits of size, time and memory.
+    async fn read_body(&self, request: Request<Incoming>) -> Result<Bytes> {
         let settings = &self.context.settings;
-        let max_bytes = usize::try_from(settings.max_body_size.get()).unwrap_or(usize::MAX);
-        let body = timeout(
-            settings.body_timeout,
-            Limited::new(body, max_bytes).collect(),
-        )
-        .await
-        .map_err(|_| RequestError::SlowBody {
-            timeout_ms: settings.body_timeout.as_millis(),
-        })?
-        .map_err(|error| body_error(&*error, settings.max_body_size))?;
-        Ok(body.to_bytes())
+        let (head, body) = request.into_parts();
+        let account = head.extensions.get::<Arc<ClientAccount>>();
+        let reader = BodyReader {
+            account: account.expect("the server adds it to each request"),
+            max_size: settings.max_body_size,
+            timeout: settings.body_timeout,
+        };
+        reader.read(body).await.map_err(|error| match error {
+            BodyError::Oversized => RequestError::OversizedBody {
+                limit: settings.max_body_size,
+            },
+            BodyError::Incomplete(reason) => RequestError::MalformedBody { reason },
+            BodyError::Late => RequestError::SlowBody {
+                timeout_ms: settings.body_timeout.as_millis(),
+            },
+            BodyError::NoMemory => RequestError::NoMemory,
+        })
     }
 
     /// Answers a query of a caller, or one that another instance forwarded.
@@ -151,15 +161,6 @@
     }
 }
 
-fn body_error(error: &(dyn std::error::Error + 'static), limit: ByteSize) -> RequestError {
-    match error.is::<LengthLimitError>() {
-        true => RequestError::OversizedBody { limit },
-        false => RequestError::MalformedBody {
-            reason: error.to_string(),
-        },
-    }
-}
-
 /// Returns the identifier to use in the answer to a request whose own identifier could not be read.
 fn unknown_request_id() -> RequestId {
     "unknown".parse().expect("a constant identifier is valid")
--- a/crates/anvilhubd/src/caller/server_limits.rs
+++ b/crates/anvilhubd/src/caller/server_limits.rs
@@ -2,12 +2,16 @@
 
 use anvilhub_coord::ids::ByteSize;
 
+use crate::memory::ServerKind;
+
 /// Byte that a server whose limits have `sends_greeting` sends first on each connection.
 pub(crate) const GREETING: u8 = b'+';
 
 /// Limits and options of the connections of an [`HttpServer`](super::HttpServer).
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServerLimits {
+    /// The server that these limits are for.
+    pub(crate) server: ServerKind,
     /// Maximum number of open connections.
     pub(crate) max_connections: usize,
     /// Maximum idle time of a connection between two requests, and maximum time to receive the head of a request.
--- a/crates/anvilhubd/src/daemon.rs
+++ b/crates/anvilhubd/src/daemon.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhub_coord::ids::ByteSize;
 use crossbeam::channel::{Receiver, Sender, bounded, select};
 use eyre::{Result, WrapErr};
 use log::info;
@@ -21,9 +22,13 @@
 use crate::entry_context::EntryContext;
 use crate::instance_lifecycle::{InstanceLifecycle, Ready};
 use crate::logging;
+use crate::memory::{MemoryLedger, ServerKind};
 use crate::operator::OperatorServer;
 use crate::peer::PeerServer;
 
+/// Maximum memory that callers make the process hold: more than a body of the default maximum size on each of the
+/// default number of connections.
+const LEDGER_LIMIT: ByteSize = ByteSize(512_000_000);
 /// Interval at which a draining instance checks for requests in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -66,13 +71,15 @@
     let lifecycle = lifecycle.serve();
     info!(instance:% = context.settings.instance; "ready");
     let limits = ServerLimits {
+        server: ServerKind::Callers,
         sends_greeting: false,
         max_connections: context.settings.max_caller_connections as usize,
         idle_timeout: context.settings.idle_timeout,
         answers_half_closed: true,
         max_head_size: None,
     };
-    let server = HttpServer::new(handler, limits);
+    let ledger = MemoryLedger::new(LEDGER_LIMIT, context.clock);
+    let server = HttpServer::new(handler, limits, ledger);
     serve(
         &runtime,
         &context,
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -20,6 +20,9 @@
     /// The body did not arrive within the setting `body_timeout_ms`.
     #[display("the request body did not arrive within {timeout_ms} ms")]
     SlowBody { timeout_ms: u128 },
+    /// There is no memory for the body.
+    #[display("the instance has no memory for the request body")]
+    NoMemory,
     #[display("service `{service}` is not in the sheet in force")]
     UnknownService { service: ServiceName },
     /// The service does not list the caller.
@@ -73,7 +76,9 @@
             Self::SlowBody { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::CallerNotServed { .. } => StatusCode::FORBIDDEN,
             Self::DeadlineExpired { .. } => StatusCode::GATEWAY_TIMEOUT,
-            Self::NotReady | Self::TicketNotIssued { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoMemory | Self::NotReady | Self::TicketNotIssued { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::TicketRequired { .. } => StatusCode::PRECONDITION_REQUIRED,
             Self::TicketRefused { .. } => StatusCode::CONFLICT,
             Self::NotAdmitted { reason, .. } => match reason {
@@ -90,6 +95,7 @@
             Self::MalformedBody { .. } => "malformed_body",
             Self::OversizedBody { .. } => "oversized_body",
             Self::SlowBody { .. } => "slow_body",
+            Self::NoMemory => "no_memory",
             Self::UnknownService { .. } => "unknown_service",
             Self::CallerNotServed { .. } => "caller_not_served",
             Self::DeadlineExpired { .. } => "deadline_expired",
@@ -108,6 +114,14 @@
         }
     }
 
+    /// Returns whether a part of the body may not have been read.
+    pub(crate) fn leaves_body(&self) -> bool {
+        matches!(
+            self,
+            Self::OversizedBody { .. } | Self::SlowBody { .. } | Self::NoMemory
+        )
+    }
+
     /// Returns the outcome to report to the caller.
     ///
     /// A refused request without a ticket was never routed, so it did not run. A request with a ticket may be the
@@ -128,6 +142,7 @@
             Self::MalformedBody { .. } => "send the JSON document that docs/callers.md describes",
             Self::OversizedBody { .. } => "shorten the query or raise `max_body_bytes`",
             Self::SlowBody { .. } => "send the whole body at once",
+            Self::NoMemory => "wait as `Retry-After` says, and send the whole body at once",
             Self::UnknownService { .. } => "check the name against `anvilhub state`",
             Self::CallerNotServed { .. } => "have the caller added to the service in the sheet",
             Self::DeadlineExpired { .. } => "send the request with more time",
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -6,6 +6,7 @@
 use anvilhub_coord::fleet::DomainShares;
 use anvilhub_coord::gateway::{RouteCatalog, TimerLag, UpstreamRecord};
 use anvilhub_coord::ids::{ServiceName, SheetVersion};
+use anvilhub_coord::memory::MemoryPlan;
 use anvilhub_coord::routing::RetryBudget;
 use anvilhub_coord::time::ClockTime;
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -16,6 +17,8 @@
 use crate::daemon_clock::DaemonClock;
 use crate::fleet::FleetState;
 use crate::instance_lifecycle::{LifecycleStage, StageCell};
+use crate::memory::MemoryLedger;
+use crate::pool::ANSWER_BUDGET;
 use crate::routes::LockCell;
 
 use super::{
@@ -39,6 +42,10 @@
     /// Translates the platform's headers.
     pub(super) codec: Arc<dyn HeaderCodec>,
     pub(super) clock: DaemonClock,
+    /// Memory that callers and relays make this instance hold.
+    pub(super) ledger: Arc<MemoryLedger>,
+    /// How the memory of this instance is divided.
+    pub(super) memory_plan: MemoryPlan,
     /// Stage of this instance between start and stop.
     pub(super) stage: StageCell,
     /// The other instances, and the platform's values.
@@ -72,8 +79,16 @@
         stage: StageCell,
     ) -> Arc<Self> {
         let clock = DaemonClock::start();
+        let memory_plan = MemoryPlan::new(
+            settings.memory,
+            settings.max_connections,
+            settings.max_answer_size,
+        );
+        ANSWER_BUDGET.set_max_size(memory_plan.answer_limit);
         Arc::new(Self {
             fleet: FleetState::new(&settings, clock),
+            ledger: MemoryLedger::new(memory_plan.ledger_limit, clock),
+            memory_plan,
             settings,
             codec,
             clock,
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -18,6 +18,7 @@
 use crate::fleet::{FeedThread, FleetServer, GossipLoop, PlatformFeed};
 use crate::instance_lifecycle::InstanceLifecycle;
 use crate::logging;
+use crate::memory::ServerKind;
 
 use super::{
     ConnectionWarmer, Gateway, GatewayError, GatewayHandler, GatewaySettings, HeaderCodec,
@@ -87,7 +88,8 @@
         Arc::new(ReadyHandler {
             gateway: Arc::clone(&gateway),
         }),
-        server_limits(MAX_OPERATOR_CONNECTIONS),
+        server_limits(ServerKind::Ready, MAX_OPERATOR_CONNECTIONS),
+        Arc::clone(&gateway.ledger),
     );
     let (_ready_sender, ready_stop) = watch::channel(false);
     runtime.spawn(async move { ready_server.serve(ready_listener, ready_stop).await });
@@ -98,15 +100,20 @@
         Arc::new(RelayHandler::new(Arc::clone(&gateway))),
         ServerLimits {
             sends_greeting: true,
-            ..server_limits(gateway.settings.max_caller_connections)
+            ..server_limits(ServerKind::Relay, gateway.memory_plan.max_relay_connections)
         },
+        Arc::clone(&gateway.ledger),
     );
     let relay_stop = stop.clone();
     let relay_task =
         runtime.spawn(async move { relay_server.serve(relay_listener, relay_stop).await });
     let caller_server = HttpServer::new(
         Arc::new(GatewayHandler::new(Arc::clone(&gateway))),
-        server_limits(gateway.settings.max_caller_connections),
+        server_limits(
+            ServerKind::Callers,
+            gateway.memory_plan.max_caller_connections,
+        ),
+        Arc::clone(&gateway.ledger),
     );
     let drain_grace = gateway.settings.drain_grace;
     let stopping_gateway = Arc::clone(&gateway);
@@ -151,6 +158,7 @@
         if limits_reported_at.elapsed() >= LIMIT_REPORT_INTERVAL {
             limits_reported_at = Instant::now();
             gateway.fleet.limits.report_sends();
+            gateway.ledger.report();
         }
         if !gateway.is_draining() {
             warmer.open_missing();
@@ -158,8 +166,9 @@
     }
 }
 
-fn server_limits(max_connections: usize) -> ServerLimits {
+fn server_limits(server: ServerKind, max_connections: usize) -> ServerLimits {
     ServerLimits {
+        server,
         max_connections,
         idle_timeout: CALLER_IDLE_TIMEOUT,
         answers_half_closed: false,
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -8,20 +8,21 @@
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::time::ClockTime;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, StatusCode, Uri};
 
-use crate::caller::HttpHandler;
+use crate::caller::{BodyReader, HttpHandler};
+use crate::memory::ClientAccount;
 
 use super::forwarded_request::remove_hop_by_hop_headers;
 use super::relay_handler::decline_relay;
 use super::{
     CallerWatch, FanoutOutcome, FanoutPlan, FanoutRun, ForwardedRequest, Gateway, RelayHeaders,
-    RelayOutcome, RelayRun, RequestLog, RequestMetadata, ServingTable,
+    RelayOutcome, RelayRun, RequestLog, RequestMetadata, ServingTable, UnreadBody,
 };
 
 /// Maximum time for which a request waits for the first configuration after a start. Two reads of the platform's store
@@ -132,10 +133,14 @@
         };
         request_log.route = Some(table.catalog.rules()[route_index].name.clone());
         let (head, body) = request.into_parts();
-        let body = match self.read_body(&table, route_index, body).await {
+        let body = match self.read_body(&table, route_index, &head, body).await {
             Ok(body) => body,
-            Err(response) => {
-                request_log.reason = "unread_body";
+            Err(error) => {
+                let response = match (&error, relay_headers) {
+                    (UnreadBody::NoMemory, Some(_)) => decline_relay("no memory"),
+                    _ => error.to_response(time_left),
+                };
+                request_log.reason = error.reason();
                 return HandledRequest {
                     response,
                     request_log,
@@ -159,44 +164,26 @@
         }
     }
 
-    /// Reads the body of a request within the limits of size and time.
+    /// Reads the body of a request within the limits of size, time and memory.
     ///
     /// # Errors
     ///
-    /// Fails with the response to send if the body is too large, late or incomplete.
+    /// Fails if the body is too large, late or incomplete, or if there is no memory for it.
     async fn read_body(
         &self,
         table: &ServingTable,
         route_index: usize,
+        head: &Parts,
         body: Incoming,
-    ) -> Result<Bytes, Response<Full<Bytes>>> {
-        if body.is_end_stream() {
-            return Ok(Bytes::new());
-        }
-        let limit = table.catalog.limits.max_body_size.get() as usize;
-        let timeout = table.catalog.rules()[route_index].timeout;
-        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
-        let Some(read) = self.gateway.run_until_stop(read).await else {
-            return Err(error_response(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive before this instance stops",
-            ));
+    ) -> Result<Bytes, UnreadBody> {
+        let account = head.extensions.get::<Arc<ClientAccount>>();
+        let reader = BodyReader {
+            account: account.expect("the server adds it to each request"),
+            max_size: table.catalog.limits.max_body_size,
+            timeout: table.catalog.rules()[route_index].timeout,
         };
-        match read {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(error_response(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is larger than the configuration allows",
-            )),
-            Ok(Err(_)) => Err(error_response(
-                StatusCode::BAD_REQUEST,
-                "the body did not arrive whole",
-            )),
-            Err(_) => Err(error_response(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            )),
-        }
+        let read = self.gateway.run_until_stop(reader.read(body)).await;
+        read.ok_or(UnreadBody::Stopping)?.map_err(UnreadBody::from)
     }
 
     /// Relays a request, or sends it to upstreams, and waits for the response.
@@ -478,7 +465,10 @@
 
 /// Builds the response to a request that has not run and will not run; it states when to retry. `retry_delay` is
 /// the expected time until a retry can succeed, and `time_left` is that of the caller.
-fn not_run_response(retry_delay: Duration, time_left: Duration) -> Response<Full<Bytes>> {
+pub(super) fn not_run_response(
+    retry_delay: Duration,
+    time_left: Duration,
+) -> Response<Full<Bytes>> {
     let advised_delay = RetryAdvice.retry_delay(retry_delay, time_left, rand::random());
     let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, "not run; try again later");
     let seconds = format!("{:.3}", advised_delay.as_secs_f64());
@@ -487,7 +477,7 @@
     response
 }
 
-fn error_response(status: StatusCode, message: &'static str) -> Response<Full<Bytes>> {
+pub(super) fn error_response(status: StatusCode, message: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(message.as_bytes())));
     *response.status_mut() = status;
     response
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -23,8 +23,11 @@
     pub log_level: LevelFilter,
     /// Number of threads that serve requests; 1 for an instance with one core.
     pub worker_threads: usize,
-    /// Maximum number of callers' connections.
-    pub max_caller_connections: usize,
+    /// Memory that the process may use.
+    pub memory: ByteSize,
+    /// Maximum number of connections of callers and of instances that relay requests, together. A small `memory`
+    /// allows fewer.
+    pub max_connections: usize,
     /// Maximum size of an upstream's answer.
     pub max_answer_size: ByteSize,
     /// Maximum time for opening a connection to an upstream: several round trips between failure domains and the
@@ -70,7 +73,8 @@
             metrics_address: loopback(0),
             log_level: LevelFilter::Info,
             worker_threads: 1,
-            max_caller_connections: 3_000,
+            memory: ByteSize(512_000_000),
+            max_connections: 3_000,
             max_answer_size: ByteSize(8 * 1024 * 1024),
             connect_timeout: Duration::from_millis(250),
             drain_grace: Duration::from_millis(2_600),
--- a/crates/anvilhubd/src/gateway/mod.rs
+++ b/crates/anvilhubd/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 mod sub_request;
 mod sub_request_outcome;
 mod tracked_upstream;
+mod unread_body;
 mod upstream_table;
 
 pub use answer_metadata::AnswerMetadata;
@@ -79,6 +80,7 @@
 use sub_request::SubRequest;
 use sub_request_outcome::SubRequestOutcome;
 use tracked_upstream::TrackedUpstream;
+use unread_body::UnreadBody;
 use upstream_table::UpstreamTable;
 
 /// Result of a gateway operation.
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 mod instance_lifecycle;
 mod logging;
+mod memory;
 mod operator;
 mod peer;
 mod pool;
--- a/crates/anvilhubd/src/pool/mod.rs
+++ b/crates/anvilhubd/src/pool/mod.rs
@@ -11,6 +11,7 @@
 mod upstream_connection;
 mod upstream_pool;
 
+pub(crate) use answer_budget::ANSWER_BUDGET;
 pub(crate) use connection_lease::ConnectionLease;
 pub(crate) use connection_set::ConnectionSet;
 pub(crate) use connection_target::ConnectionTarget;
