--- a/crates/anvilhubd/src/gateway/mod.rs
+++ b/crates/anvilhubd/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod sub_request;
 mod sub_request_outcome;
 mod tracked_upstream;
+mod unread_body;
 mod upstream_distance;
 mod upstream_table;
 
@@ -96,6 +97,7 @@
 use sub_request::SubRequest;
 use sub_request_outcome::SubRequestOutcome;
 use tracked_upstream::TrackedUpstream;
+use unread_body::UnreadBody;
 use upstream_distance::UpstreamDistance;
 use upstream_table::UpstreamTable;
 
