Keep requests inside the home regions of their route

Cause: A route could not state in which regions its data must stay. Upstreams and relays were chosen from all failure domains.

`Gateway::service_group` leaves out upstreams that a request must not reach, so first attempts, hedges, retries and the reason of a refusal follow from the same list. Relays are chosen from members that are in a home region or in this instance's own. Without the list or the setting nothing changes.

--- a/crates/anvilhub-coord/src/gateway/route_rule.rs
+++ b/crates/anvilhub-coord/src/gateway/route_rule.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{HostName, RouteName, RouteTarget};
+use super::{HomeRegions, HostName, RouteName, RouteTarget};
 use crate::sheet::RepeatPolicy;
 
 /// A route: which requests it matches and how they are handled.
@@ -22,6 +22,8 @@
     pub max_attempts: u32,
     /// Priority; 0 is the highest.
     pub priority: u32,
+    /// The regions to which the requests may go.
+    pub home_regions: HomeRegions,
     /// Where the requests are sent.
     pub target: RouteTarget,
 }
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -20,6 +20,7 @@
 mod gather_properties;
 mod gossip_spread;
 mod hedge_policy;
+mod home_regions;
 mod key_ranges;
 mod limit_burst;
 mod limit_sharers;
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -176,19 +176,25 @@
         )
     }
 
-    /// Returns whether another instance can gather the answers to requests with this many sub-requests.
-    pub(crate) fn has_relay(&self, sub_request_count: usize) -> bool {
-        self.choose_relay(sub_request_count, &DomainShares::default(), &[])
+    /// Returns whether another instance for which `is_allowed` returns true can gather the answers to requests with this
+    /// many sub-requests.
+    pub(crate) fn has_relay(
+        &self,
+        sub_request_count: usize,
+        is_allowed: impl Fn(&MemberInfo) -> bool,
+    ) -> bool {
+        self.choose_relay(sub_request_count, &DomainShares::default(), is_allowed)
             .is_some()
     }
 
     /// Chooses the instance that gathers the answer to a request with this many sub-requests; `None` if this instance
-    /// does so itself. `shares` states where the upstreams of its shards are. Instances in `tried` are not chosen.
+    /// does so itself. `shares` states where the upstreams of its shards are. Only members for which `is_allowed` returns
+    /// true are chosen.
     pub(crate) fn choose_relay(
         &self,
         sub_request_count: usize,
         shares: &DomainShares,
-        tried: &[InstanceId],
+        is_allowed: impl Fn(&MemberInfo) -> bool,
     ) -> Option<MemberInfo> {
         let rule = RelayRule::default();
         if !rule.is_worthwhile(sub_request_count) {
@@ -198,7 +204,7 @@
         self.table.with(|table| {
             let candidates = table
                 .relay_candidates(now)
-                .filter(|member| !tried.contains(&member.instance));
+                .filter(|member| is_allowed(member));
             rule.choose(table.own_info(), candidates, shares, rand::random())
                 .cloned()
         })
--- a/crates/anvilhubd/src/gateway/connection_warmer.rs
+++ b/crates/anvilhubd/src/gateway/connection_warmer.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use anvilhub_coord::gateway::RouteRule;
 use tokio::sync::Semaphore;
 
 use super::{Gateway, TrackedUpstream};
@@ -34,7 +35,13 @@
         };
         let fleet = &self.gateway.fleet;
         let is_settled = fleet.is_settled();
-        for service in table.contacted_services(|shards| !is_settled || fleet.has_relay(shards)) {
+        let has_relay = |rule: &RouteRule, shard_count| {
+            fleet.has_relay(shard_count, |member| {
+                self.gateway.may_relay_to(&rule.home_regions, member)
+            })
+        };
+        let is_relayed = |rule: &RouteRule, shards| !is_settled || has_relay(rule, shards);
+        for service in table.contacted_services(is_relayed) {
             let groups = self.gateway.groups.load();
             let Some(group) = groups.get(service) else {
                 continue;
--- a/crates/anvilhubd/src/gateway/fanout_plan.rs
+++ b/crates/anvilhubd/src/gateway/fanout_plan.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use anvilhub_coord::gateway::GatherCutoff;
+use anvilhub_coord::gateway::{GatherCutoff, HomeRegions};
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
@@ -9,6 +9,8 @@
 pub(super) struct FanoutPlan {
     /// The services that each get a sub-request.
     pub(super) services: Vec<ServiceName>,
+    /// The regions to which the request may go.
+    pub(super) home_regions: HomeRegions,
     /// Maximum number of records in the gathered answer; `None` if the only answer is returned unchanged.
     pub(super) max_records: Option<usize>,
     /// Whether a sub-request may be sent again after an attempt that may have run.
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -46,11 +46,13 @@
         route_state: Arc<RouteState>,
         plan: FanoutPlan,
     ) -> Self {
-        let groups = gateway.groups.load();
         let sub_requests = plan
             .services
             .iter()
-            .map(|service| SubRequest::new(service.clone(), groups.get(service).cloned()))
+            .map(|service| {
+                let group = gateway.service_group(service, &plan.home_regions);
+                SubRequest::new(service.clone(), group)
+            })
             .collect();
         let grace_period = match plan.repeat_policy {
             RepeatPolicy::Idempotent => Some(gateway.settings.abandoned_grace_period),
@@ -227,10 +229,7 @@
             let sub_request = &mut self.sub_requests[index];
             sub_request.group = self
                 .gateway
-                .groups
-                .load()
-                .get(&sub_request.service)
-                .cloned();
+                .service_group(&sub_request.service, &self.plan.home_regions);
             self.choose_upstream(index, now)
         });
         choice.is_some_and(|choice| self.send_to(index, cause, choice))
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use anvilhub_coord::fleet::DomainShares;
-use anvilhub_coord::gateway::{RouteCatalog, TimerLag, UpstreamRecord};
+use anvilhub_coord::fleet::{DomainShares, MemberInfo};
+use anvilhub_coord::gateway::{HomeRegions, RouteCatalog, TimerLag, UpstreamRecord};
 use anvilhub_coord::ids::{FailureDomain, ServiceName, SheetVersion};
 use anvilhub_coord::routing::RetryBudget;
 use anvilhub_coord::time::ClockTime;
@@ -230,13 +230,35 @@
         }
     }
 
-    /// Returns in which failure domains `shards` have upstreams that are not evacuated. The shares are computed again only
+    /// Returns the upstreams of `service` that requests with these home regions may reach; `None` if the service has none.
+    pub(super) fn service_group(
+        &self,
+        service: &ServiceName,
+        home_regions: &HomeRegions,
+    ) -> Option<Arc<ServiceGroup>> {
+        let groups = self.groups.load();
+        let group = groups.get(service)?;
+        Some(group.within(home_regions, &self.settings.regions))
+    }
+
+    /// Returns whether requests with these home regions may be relayed to `member`.
+    pub(super) fn may_relay_to(&self, home_regions: &HomeRegions, member: &MemberInfo) -> bool {
+        let GatewaySettings {
+            failure_domain,
+            regions,
+            ..
+        } = &self.settings;
+        home_regions.allow_relay(failure_domain, &member.failure_domain, regions)
+    }
+
+    /// Returns in which failure domains `shards` have upstreams that may get their requests. The shares are computed again only
     /// after the upstreams, their orders or the configuration have changed; `state` and `version` are those of the route.
     pub(super) fn domain_shares(
         &self,
         state: &RouteState,
         version: SheetVersion,
         shards: &[ServiceName],
+        home_regions: &HomeRegions,
     ) -> Arc<DomainShares> {
         let generation = self.groups_generation.load(Ordering::Acquire);
         state.domain_shares((generation, version), || {
@@ -247,6 +269,7 @@
                     .flat_map(|group| &group.upstreams)
                     .filter(|upstream| !upstream.is_evacuated())
                     .map(|upstream| &upstream.record.failure_domain)
+                    .filter(|domain| home_regions.allow_upstreams(domain, &self.settings.regions))
             }))
         })
     }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -1,9 +1,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvilhub_coord::fleet::DomainShares;
+use anvilhub_coord::fleet::{DomainShares, MemberInfo};
 use anvilhub_coord::gateway::{
-    AnswerDeadline, GatherCutoff, HostName, RetryAdvice, RouteRule, RouteTarget, WeightedService,
+    AnswerDeadline, GatherCutoff, HomeRegions, HostName, RetryAdvice, RouteRule, RouteTarget,
+    WeightedService,
 };
 use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::time::ClockTime;
@@ -231,9 +232,12 @@
         let request = Arc::new(request);
         if let (RouteTarget::Gather(gather), None) = (&rule.target, relay_headers) {
             let version = table.catalog.version;
-            let shares = self
-                .gateway
-                .domain_shares(route_state, version, &gather.shards);
+            let shares = self.gateway.domain_shares(
+                route_state,
+                version,
+                &gather.shards,
+                &rule.home_regions,
+            );
             let run = RelayRun {
                 gateway: Arc::clone(&self.gateway),
                 request: Arc::clone(&request),
@@ -247,8 +251,14 @@
                 ping_interval: rule.latency_target,
                 answer_timeout: time_left,
             };
-            if let Some(response) =
-                relay_request(&run, gather.shards.len(), &shares, request_log).await
+            if let Some(response) = relay_request(
+                &run,
+                gather.shards.len(),
+                &rule.home_regions,
+                &shares,
+                request_log,
+            )
+            .await
             {
                 return response;
             }
@@ -272,6 +282,7 @@
         };
         let plan = FanoutPlan {
             services,
+            home_regions: rule.home_regions.clone(),
             max_records,
             repeat_policy: rule.repeat_policy,
             max_attempts: rule.max_attempts.max(1),
@@ -420,17 +431,21 @@
 }
 
 /// Relays a request with this many sub-requests to a larger instance; returns `None` if this instance has to gather the
-/// answer itself. `shares` states where the upstreams of the shards are.
+/// answer itself. `shares` states where the upstreams of the shards are, and `home_regions` which relays may get the request.
 async fn relay_request(
     run: &RelayRun,
     sub_request_count: usize,
+    home_regions: &HomeRegions,
     shares: &DomainShares,
     request_log: &mut RequestLog,
 ) -> Option<Response<Full<Bytes>>> {
     let fleet = &run.gateway.fleet;
     let mut tried = Vec::new();
     while tried.len() < MAX_TRIED_RELAYS {
-        let relay = fleet.choose_relay(sub_request_count, shares, &tried)?;
+        let may_relay = |member: &MemberInfo| {
+            !tried.contains(&member.instance) && run.gateway.may_relay_to(home_regions, member)
+        };
+        let relay = fleet.choose_relay(sub_request_count, shares, may_relay)?;
         request_log.relay = relay.instance.to_string();
         let Some(outcome) = run.gateway.run_until_stop(run.relay_to(&relay)).await else {
             request_log.reason = "stopping";
--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvilhub_coord::gateway::RegionMap;
 use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId};
 use log::LevelFilter;
 
@@ -54,6 +55,8 @@
     pub leaving_grace_period: Duration,
     /// How long an attempt may continue after its request has ended, so that its connection can be reused.
     pub abandoned_grace_period: Duration,
+    /// The regions of the failure domains.
+    pub regions: RegionMap,
     /// Settings for the cooperation with other instances.
     pub fleet: FleetSettings,
 }
@@ -83,6 +86,7 @@
             connection_sharer_count: 10,
             leaving_grace_period: Duration::from_millis(500),
             abandoned_grace_period: Duration::from_millis(250),
+            regions: RegionMap::default(),
             fleet: FleetSettings::default(),
         }
     }
--- a/crates/anvilhubd/src/gateway/serving_table.rs
+++ b/crates/anvilhubd/src/gateway/serving_table.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use anvilhub_coord::gateway::{RouteCatalog, RouteName, RouteTarget};
+use anvilhub_coord::gateway::{RouteCatalog, RouteName, RouteRule, RouteTarget};
 use anvilhub_coord::ids::ServiceName;
 
 use super::RouteState;
@@ -35,20 +35,17 @@
         Self { catalog, states }
     }
 
-    /// Returns the services to which this instance sends requests itself. `is_relayed` returns whether a request
-    /// that is gathered from the given number of shards is relayed to another instance.
+    /// Returns the services to which this instance sends requests itself. `is_relayed` returns whether requests of a route
+    /// that are gathered from the given number of shards are relayed to another instance.
     pub(super) fn contacted_services(
         &self,
-        is_relayed: impl Fn(usize) -> bool,
+        is_relayed: impl Fn(&RouteRule, usize) -> bool,
     ) -> BTreeSet<&ServiceName> {
-        let targets = self.catalog.rules().iter().map(|rule| &rule.target);
-        let is_contacted = |target: &&RouteTarget| match target {
-            RouteTarget::Gather(gather) => !is_relayed(gather.shards.len()),
+        let is_contacted = |rule: &&RouteRule| match &rule.target {
+            RouteTarget::Gather(gather) => !is_relayed(rule, gather.shards.len()),
             RouteTarget::Service(_) | RouteTarget::Split(_) => true,
         };
-        targets
-            .filter(is_contacted)
-            .flat_map(RouteTarget::services)
-            .collect()
+        let rules = self.catalog.rules().iter().filter(is_contacted);
+        rules.flat_map(|rule| rule.target.services()).collect()
     }
 }
