--- a/crates/anvilhubd/src/gateway/gateway_settings.rs
+++ b/crates/anvilhubd/src/gateway/gateway_settings.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use anvilhub_coord::gateway::RegionMap;
 use anvilhub_coord::ids::{ByteSize, FailureDomain, InstanceId, TransferPrice};
 use anvilhub_coord::limit::WarmupBound;
 use log::LevelFilter;
@@ -66,6 +67,8 @@
     pub remote_price: Option<TransferPrice>,
     /// By how much a round trip to another failure domain exceeds one within; `None` to measure it.
     pub remote_round_trip: Option<Duration>,
+    /// The regions of the failure domains.
+    pub regions: RegionMap,
     /// Settings for the cooperation with other instances.
     pub fleet: FleetSettings,
 }
@@ -99,6 +102,7 @@
             warmup_bound: None,
             remote_price: None,
             remote_round_trip: None,
+            regions: RegionMap::default(),
             fleet: FleetSettings::default(),
         }
     }
