Replay patient requests that share an upstream with the others

Change: a third kind, a longer replay, in which requests arrive for the first 10 s, and patient_kind_served.

--- a/crates/anvilhub-coord/tests/capacity_replay.rs
+++ b/crates/anvilhub-coord/tests/capacity_replay.rs
@@ -16,8 +16,10 @@
 const INSTANCES: usize = 2;
 const CONNECTIONS: u32 = 6;
 const SLOTS: usize = 2;
-const RUN_MS: u64 = 10_000;
-/// Burst of sweeps, and time in which every tenth shard is slow.
+/// Time in which requests arrive, and length of a replay.
+const ARRIVAL_MS: u64 = 10_000;
+const RUN_MS: u64 = 20_000;
+/// Burst of one kind, and time in which every tenth shard is slow.
 const BURST_MS: std::ops::Range<u64> = 2_000..6_000;
 const BURST_FACTOR: f64 = 2.6;
 const SLOWDOWN: u64 = 8;
@@ -26,8 +28,15 @@
 /// Time after its target for which an attempt that was sent keeps its connection.
 const GRACE_MS: u64 = 250;
 
-/// Priority, work in microseconds, target in milliseconds and rate a second of alerts and sweeps.
-const KINDS: [(u32, u64, u64, f64); 2] = [(0, 6_700, 50, 15.0), (1, 20_000, 200, 25.0)];
+/// Priority, work in microseconds, target in milliseconds and rate a second of alerts, sweeps and patient look-ups. The time of
+/// the last is their limit: they may be late, but must be answered.
+const KINDS: [(u32, u64, u64, f64); 3] = [
+    (0, 6_700, 50, 15.0),
+    (1, 20_000, 200, 25.0),
+    (2, 160_000, 10_000, 8.0),
+];
+const SWEEP: usize = 1;
+const PATIENT: usize = 2;
 
 /// How connections are granted.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -53,13 +62,14 @@
     is_connected: bool,
 }
 
-fn arrivals() -> Vec<Arrival> {
+/// Returns the requests of the kinds before `kind_count`, with a burst of `burst_kind`.
+fn arrivals(kind_count: usize, burst_kind: usize) -> Vec<Arrival> {
     println!("seed {SEED}");
     let mut random = StdRng::seed_from_u64(SEED);
     let mut arrivals = Vec::new();
-    for at_ms in 0..RUN_MS {
-        for (kind, &(_, _, _, rate)) in KINDS.iter().enumerate() {
-            let is_burst = kind == 1 && BURST_MS.contains(&at_ms);
+    for at_ms in 0..ARRIVAL_MS {
+        for (kind, &(_, _, _, rate)) in KINDS[..kind_count].iter().enumerate() {
+            let is_burst = kind == burst_kind && BURST_MS.contains(&at_ms);
             let factor = if is_burst { BURST_FACTOR } else { 1.0 };
             if random.random_bool(rate * factor / 1_000.0) {
                 arrivals.push(Arrival { at_ms, kind });
@@ -80,7 +90,7 @@
     for now_ms in 0..RUN_MS {
         let now = ClockTime::from_millis(now_ms);
         let target_of = |request: usize| arrivals[request].at_ms + KINDS[arrivals[request].kind].2;
-        let has_higher = |request: usize| policy == Policy::Window && arrivals[request].kind == 1;
+        let has_higher = |request: usize| policy == Policy::Window && arrivals[request].kind > 0;
         let sent = |request: usize| SentAttempt {
             request,
             work_left_us: KINDS[arrivals[request].kind].1,
@@ -151,7 +161,7 @@
 
 /// Returns the mean payoff of alerts and of sweeps: the square of the share of shards that answered in time.
 fn replay(policy: Policy) -> [f64; 2] {
-    let arrivals = arrivals();
+    let arrivals = arrivals(PATIENT, SWEEP);
     let mut answered = vec![0; arrivals.len()];
     for shard in 0..SHARDS {
         replay_shard(shard as u64, &arrivals, policy, &mut answered);
@@ -179,3 +189,30 @@
     assert!(sweeps_ranked > sweeps_before - 0.01);
     assert!(sweeps > sweeps_before - 0.01);
 }
+
+/// Returns how many alerts one upstream answers within their target, and the numbers of patient look-ups that it answers at
+/// all and that arrive, if all kinds share it.
+fn replay_shared(policy: Policy) -> [usize; 3] {
+    let arrivals = arrivals(KINDS.len(), PATIENT);
+    let mut answered = vec![0; arrivals.len()];
+    replay_shard(1, &arrivals, policy, &mut answered);
+    let count = |kind: usize| {
+        let of_kind = arrivals
+            .iter()
+            .zip(&answered)
+            .filter(|(arrival, _)| arrival.kind == kind);
+        of_kind.map(|(_, count)| count).sum()
+    };
+    let patient = arrivals.iter().filter(|arrival| arrival.kind == PATIENT);
+    [count(0), count(PATIENT), patient.count()]
+}
+
+/// Guards against patient requests that starve or are dropped behind the others during a burst of their own.
+#[test]
+fn patient_kind_served() {
+    let before = replay_shared(Policy::Arrival);
+    let after = replay_shared(Policy::Window);
+    println!("alerts in time, patient answered, patient: {before:?} {after:?}");
+    assert!(after[0] > before[0]);
+    assert_eq!(after[1], after[2]);
+}
