Hold the spillover of a service in its home regions too

Cause: the merge of home regions and spillover left one initializer without the new field. Change: a group that is restricted to home regions keeps the service's spillover; the test of route priorities states home regions.

--- a/crates/anvilhub-coord/tests/route_priorities.rs
+++ b/crates/anvilhub-coord/tests/route_priorities.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvilhub_coord::gateway::{GatherRule, RouteCatalog, RouteRule, RouteTarget};
+use anvilhub_coord::gateway::{GatherRule, HomeRegions, RouteCatalog, RouteRule, RouteTarget};
 use anvilhub_coord::ids::SheetVersion;
 use anvilhub_coord::sheet::RepeatPolicy;
 
@@ -16,6 +16,7 @@
         latency_target: Duration::from_secs(1),
         max_attempts: 2,
         priority,
+        home_regions: HomeRegions::default(),
         target,
     }
 }
--- a/crates/anvilhubd/src/gateway/service_group.rs
+++ b/crates/anvilhubd/src/gateway/service_group.rs
@@ -31,6 +31,7 @@
         Arc::new(Self {
             upstreams: self.upstreams.iter().filter(is_allowed).cloned().collect(),
             retry_budget: Arc::clone(&self.retry_budget),
+            spillover: Arc::clone(&self.spillover),
         })
     }
 }
