Replay a pausing and slow local copy against the spillover share

Cause: the replay had no shard whose only local copy pauses for 200 ms each 4.5 s or is 8 times slower for 6 s, the load under which a share could keep attempts at a bad copy.

Change: tests/spillover_load.rs holds the replays with this load added, and tests/spillover_replay.rs the replay itself. No change of the code.

--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -53,6 +53,7 @@
 mod sheets;
 mod skip_rule;
 mod slot_queue;
+mod spillover_load;
 mod spillover_replay;
 mod spillover_share;
 mod start_sample;
--- a/crates/anvilhub-coord/tests/remote_cost.rs
+++ b/crates/anvilhub-coord/tests/remote_cost.rs
@@ -110,7 +110,7 @@
     }
 }
 
-/// A shard whose only local copy pauses must leave as early as before, even if its bytes cost more than that.
+/// A shard whose only local copy owes an overdue answer must leave for the former constant, even if its bytes cost more.
 #[test]
 fn paused_copy_left() {
     let mut paused = ReplicaStats::default();
--- a/crates/anvilhub-coord/tests/spillover_replay.rs
+++ b/crates/anvilhub-coord/tests/spillover_replay.rs
@@ -1,6 +1,4 @@
-//! Replays a failure domain with too few upstreams whose demand swings, beside one with room, for fleets of several sizes
-//! that share no counter: guards against callers who wait at full upstreams, against moving the overload to the next
-//! domain, and against oscillation.
+//! Replays two failure domains with several upstreams and instances that share no counter, without a network.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -15,17 +13,19 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-const SEED: u64 = 7;
+pub(crate) const SEED: u64 = 7;
 const SLOTS: u32 = 2;
 const QUEUE_LEN: usize = 12;
 const LATENCY_US: [u64; 2] = [200, 1_400];
 const REPLAY_S: u64 = 26;
-/// Upstreams of the two domains, with 100 requests a second each at their nominal speed.
-const UPSTREAMS: [usize; 2] = [4, 8];
+/// Length of the pauses of the first upstream and time between two of them, in microseconds.
+const PAUSE_US: [u64; 2] = [200_000, 4_500_000];
+/// When the first upstream is eight times slower, in seconds.
+const SLOW_S: std::ops::Range<u64> = 10..16;
 
 /// What decides whether an attempt leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Policy {
+pub(crate) enum Policy {
     /// The constant of 1.6 typical latencies.
     Constant,
     /// The cost as a time, within the share.
@@ -33,22 +33,30 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Load {
-    policy: Policy,
-    instances: usize,
-    typical_ms: u64,
+pub(crate) struct Load {
+    pub(crate) policy: Policy,
+    pub(crate) instances: usize,
+    pub(crate) typical_ms: u64,
+    /// Upstreams of the two domains.
+    pub(crate) upstreams: [usize; 2],
+    /// Whether the first upstream pauses and becomes slow.
+    pub(crate) has_faults: bool,
     /// Mean demand of the domains, relative to the nominal speed of their upstreams.
-    demand: [f64; 2],
+    pub(crate) demand: [f64; 2],
     /// Swing of the first domain's demand.
-    swing: f64,
+    pub(crate) swing: f64,
+    pub(crate) seed: u64,
 }
 
 const LOAD: Load = Load {
     policy: Policy::Bounded,
     instances: 6,
     typical_ms: 20,
+    upstreams: [4, 8],
+    has_faults: false,
     demand: [0.85, 0.5],
     swing: 0.55,
+    seed: SEED,
 };
 
 #[derive(Default)]
@@ -75,19 +83,19 @@
 }
 
 #[derive(Default)]
-struct Outcome {
+pub(crate) struct Outcome {
     /// Latencies of the domains' callers, in milliseconds.
     latencies: [Vec<f64>; 2],
-    failures: [usize; 2],
+    pub(crate) failures: [usize; 2],
     /// Fraction of the first domain's attempts that left in each second.
-    left: Vec<f64>,
+    pub(crate) left: Vec<f64>,
     begins: usize,
     ends: usize,
     expiries: usize,
 }
 
 impl Outcome {
-    fn quantile(&self, domain: usize, quantile: f64) -> f64 {
+    pub(crate) fn quantile(&self, domain: usize, quantile: f64) -> f64 {
         let mut sorted = self.latencies[domain].clone();
         sorted.sort_by(f64::total_cmp);
         sorted[((sorted.len() - 1) as f64 * quantile) as usize]
@@ -126,17 +134,13 @@
     outcome: Outcome,
 }
 
-fn domain_of(upstream: usize) -> usize {
-    usize::from(upstream >= UPSTREAMS[0])
-}
-
 impl Replay {
     fn run(load: Load) -> Outcome {
         let count = 2 * load.instances;
-        let upstream_count = UPSTREAMS[0] + UPSTREAMS[1];
+        let upstream_count: usize = load.upstreams.iter().sum();
         let mut replay = Self {
             load,
-            random: SmallRng::seed_from_u64(SEED),
+            random: SmallRng::seed_from_u64(load.seed),
             events: BinaryHeap::new(),
             event_count: 0,
             upstreams: (0..upstream_count).map(|_| Upstream::default()).collect(),
@@ -157,6 +161,28 @@
         replay.outcome
     }
 
+    fn domain_of(&self, upstream: usize) -> usize {
+        usize::from(upstream >= self.load.upstreams[0])
+    }
+
+    /// Starts the work of an attempt and schedules its end.
+    fn work(&mut self, now: ClockTime, index: usize) {
+        let attempt = &self.attempts[index];
+        let mut work_us = attempt.work.as_micros() as u64;
+        let mut paused_us = 0;
+        if self.load.has_faults && attempt.upstream == 0 {
+            if SLOW_S.contains(&(now.0 / 1_000_000)) {
+                work_us *= 8;
+            }
+            let phase = now.0 % PAUSE_US[1];
+            paused_us = match phase < PAUSE_US[0] {
+                true => PAUSE_US[0] - phase,
+                false => (phase + work_us) / PAUSE_US[1] * PAUSE_US[0],
+            };
+        }
+        self.schedule(now.0 + work_us + paused_us, Event::Worked(index));
+    }
+
     fn schedule(&mut self, at_us: u64, event: Event) {
         self.event_count += 1;
         self.events.push(Reverse((at_us, self.event_count, event)));
@@ -167,7 +193,7 @@
             Event::Arrival(domain) => {
                 let seconds = now.0 as f64 / 1e6;
                 let swing = if domain == 0 { self.load.swing } else { 0.0 };
-                let capacity_per_us = UPSTREAMS[domain] as f64 * f64::from(SLOTS)
+                let capacity_per_us = self.load.upstreams[domain] as f64 * f64::from(SLOTS)
                     / (self.load.typical_ms * 1_000) as f64;
                 let demand =
                     self.load.demand[domain] * (1.0 + swing * (TAU * seconds / 13.0).sin());
@@ -208,7 +234,7 @@
                 is_limited: false,
                 is_cooling_down: stats.is_cooling_down(now),
                 is_leaving: false,
-                is_local: domain_of(upstream) == home,
+                is_local: self.domain_of(upstream) == home,
                 is_overdue: stats.is_overdue(now, typical, SLOTS),
                 remote_cost: (self.load.policy != Policy::Constant)
                     .then(|| cost.in_latencies(typical)),
@@ -232,7 +258,7 @@
         let upstream = ranker
             .choose(&candidates, tried.is_some(), || random.random())
             .expect("another upstream");
-        let leaves = domain_of(upstream) != home;
+        let leaves = self.domain_of(upstream) != home;
         if home == 0 {
             let sends = &mut self.sends[(now.0 / 1_000_000).min(REPLAY_S - 1) as usize];
             sends[0] += 1;
@@ -258,8 +284,7 @@
         let upstream = &mut self.upstreams[self.attempts[index].upstream];
         if upstream.running < SLOTS {
             upstream.running += 1;
-            let at = now + self.attempts[index].work;
-            self.schedule(at.0, Event::Worked(index));
+            self.work(now, index);
         } else if upstream.queue.len() < QUEUE_LEN {
             upstream.queue.push_back(index);
         } else {
@@ -273,15 +298,14 @@
         upstream.running -= u32::from(next.is_none());
         let load = [upstream.running, upstream.queue.len() as u32];
         if let Some(next) = next {
-            let at = now + self.attempts[next].work;
-            self.schedule(at.0, Event::Worked(next));
+            self.work(now, next);
         }
         self.reply(now, index, Some(load));
     }
 
     fn reply(&mut self, now: ClockTime, index: usize, load: Option<[u32; 2]>) {
         let attempt = &self.attempts[index];
-        let leaves = domain_of(attempt.upstream) != attempt.instance / self.load.instances;
+        let leaves = self.domain_of(attempt.upstream) != attempt.instance / self.load.instances;
         let at = now.0 + LATENCY_US[usize::from(leaves)];
         self.schedule(at, Event::Answered(index, load));
     }
@@ -296,7 +320,7 @@
             ..
         } = self.attempts[index];
         let home = instance / self.load.instances;
-        let leaves = domain_of(upstream) != home;
+        let leaves = self.domain_of(upstream) != home;
         let extra = LATENCY_US[usize::from(leaves)] - LATENCY_US[0];
         let mut typical = Duration::from_millis(self.load.typical_ms);
         if self.load.policy != Policy::Constant {
@@ -326,57 +350,8 @@
     }
 }
 
-fn replay(policy: Policy, change: impl FnOnce(&mut Load)) -> Outcome {
+pub(crate) fn replay(policy: Policy, change: impl FnOnce(&mut Load)) -> Outcome {
     let mut load = Load { policy, ..LOAD };
     change(&mut load);
     Replay::run(load)
 }
-
-/// Callers of the small domain waited at home for slots that were free elsewhere. What leaves must not overload the next
-/// domain, however many instances have the same view.
-#[test]
-fn swing_spills_over() {
-    for (typical_ms, instances) in [(7, 6), (20, 6), (20, 33), (20, 86), (160, 6), (160, 33)] {
-        let run = |policy| {
-            replay(policy, |load| {
-                load.typical_ms = typical_ms;
-                load.instances = instances;
-            })
-        };
-        let (before, after) = (run(Policy::Constant), run(Policy::Bounded));
-        let text = format!("seed {SEED}, {instances} instances, {typical_ms} ms");
-        assert!(
-            after.quantile(0, 0.5) < 0.95 * before.quantile(0, 0.5),
-            "{text}"
-        );
-        assert!(
-            after.quantile(0, 0.95) < 0.95 * before.quantile(0, 0.95),
-            "{text}"
-        );
-        assert!(after.failures[0] <= before.failures[0], "{text}");
-        assert!(
-            after.quantile(1, 0.5) < 1.15 * before.quantile(1, 0.5),
-            "{text}"
-        );
-        assert!(after.quantile(1, 0.95) < after.quantile(0, 0.95), "{text}");
-        assert_eq!(after.failures[1], 0, "{text}");
-    }
-}
-
-/// Under a constant overload the fraction that leaves must settle instead of swinging between the domains.
-#[test]
-fn constant_load_settles() {
-    for instances in [6, 33, 86] {
-        let outcome = replay(Policy::Bounded, |load| {
-            load.instances = instances;
-            load.swing = 0.0;
-            load.demand[0] = 1.2;
-        });
-        let settled = &outcome.left[10..];
-        let most = settled.iter().copied().fold(0.0, f64::max);
-        let least = settled.iter().copied().fold(1.0, f64::min);
-        println!("leaving between {least:.2} and {most:.2}");
-        assert!(least > 0.1 && most < 0.6, "seed {SEED}: {:?}", outcome.left);
-        assert!(most - least < 0.3, "seed {SEED}: {:?}", outcome.left);
-    }
-}
