Check the first step of the spillover share

Cause: with a step of 1.0 in place of 0.1, no test failed: the first step was not compared with none.

Change: share_steps checks the first step too.

Result: the test fails with a step of 1.0 and passes with 0.1.

--- a/crates/anvilhub-coord/tests/spillover_share.rs
+++ b/crates/anvilhub-coord/tests/spillover_share.rs
@@ -28,6 +28,7 @@
         .map(|index| record(1_000 + 20 * index, 2.0))
         .collect();
     assert_eq!(rising[0].0, Some(SpilloverChange::Begins));
+    assert!(rising[0].1 < 0.11);
     assert!(
         rising
             .windows(16)
