Read on for a moment when a body is too large

Cause: since bodies that state a size above the limit are refused at once, the connection was closed with unread bytes.

Change: up to one body of the largest size is read and dropped, for at most 250 ms, before the refusal.

--- a/crates/anvilhubd/src/caller/body_reader.rs
+++ b/crates/anvilhubd/src/caller/body_reader.rs
@@ -13,6 +13,8 @@
 /// Memory that a connection takes while it reads a body, besides the body: a second read buffer, since the head's parts
 /// keep the first one.
 const READING_SIZE: usize = 12 * 1024;
+/// Maximum time for reading the rest of a body that is too large.
+const MAX_DISCARD_TIME: Duration = Duration::from_millis(250);
 /// Minimum size of a body's buffer.
 const MIN_BUFFER_SIZE: usize = 1024;
 
@@ -59,9 +61,6 @@
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
-        if body.size_hint().lower() > self.max_size.get() {
-            return Err(BodyError::Oversized);
-        }
         if !self.account.enter(ClientPhase::Body) {
             return Err(BodyError::NoMemory);
         }
@@ -80,6 +79,10 @@
 
     async fn collect(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
         let max_size = usize::try_from(self.max_size.get()).unwrap_or(usize::MAX);
+        if body.size_hint().lower() > self.max_size.get() {
+            self.discard(&mut body).await;
+            return Err(BodyError::Oversized);
+        }
         let expected_size = body.size_hint().exact();
         let expected_size = expected_size.and_then(|size| usize::try_from(size).ok());
         let max_capacity = expected_size.unwrap_or(max_size).min(max_size);
@@ -95,6 +98,8 @@
                 continue;
             };
             if bytes.len() + data.len() > max_size {
+                drop(bytes);
+                self.discard(&mut body).await;
                 return Err(BodyError::Oversized);
             }
             ensure_capacity(&mut bytes, data.len(), max_capacity, &mut reservation)?;
@@ -103,6 +108,23 @@
         }
         Ok(HeldBytes::share(bytes, reservation))
     }
+
+    /// Reads on for a moment without keeping anything. Closing a connection with unread bytes resets it, which would take
+    /// the refusal away from a client that has not read it yet.
+    async fn discard(&self, body: &mut Incoming) {
+        let mut left = self.max_size.get();
+        let discard = async {
+            while let Some(Ok(frame)) = body.frame().await {
+                let size = frame.data_ref().map_or(0, Bytes::len) as u64;
+                match left.checked_sub(size) {
+                    Some(rest) => left = rest,
+                    None => break,
+                }
+            }
+        };
+        // An expired timeout is what ends a body that stops.
+        let _ = timeout(MAX_DISCARD_TIME, discard).await;
+    }
 }
 
 /// Makes room for `size` more bytes. The capacity doubles up to `max_capacity`, so that it counts at most twice the bytes
