--- a/crates/anvilhub-coord/src/fleet/fleet_table.rs
+++ b/crates/anvilhub-coord/src/fleet/fleet_table.rs
@@ -86,7 +86,7 @@
         }
         let sent_at = now - age;
         self.others_known_since.get_or_insert(now);
-        self.silent.record_news(&gossip.info.instance);
+        self.silent.record_contact(&gossip.info.instance);
         let known = self.members.get_mut(&gossip.info.instance);
         match known {
             Some(member) if member.sent_at >= sent_at => {}
--- a/crates/anvilhub-coord/src/fleet/silent_members.rs
+++ b/crates/anvilhub-coord/src/fleet/silent_members.rs
@@ -27,7 +27,7 @@
     }
 
     /// Records that something was heard of a member again.
-    pub fn record_news(&mut self, instance: &InstanceId) {
+    pub fn record_contact(&mut self, instance: &InstanceId) {
         self.members.remove(instance);
     }
 
--- a/crates/anvilhub-coord/src/gateway/replica_ranker.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_ranker.rs
@@ -71,13 +71,13 @@
         let mut best: Option<(f64, usize)> = None;
         let mut best_local: Option<(f64, usize)> = None;
         let best_tier = best_tier(candidates, is_repeat)?;
-        let has_punctual_local = has_punctual_local(candidates, best_tier);
+        let has_responsive_local = has_responsive_local(candidates, best_tier);
         for (index, candidate) in candidates.iter().enumerate() {
             if candidate.is_excluded || tier(candidate) != best_tier {
                 continue;
             }
             let extra_cost =
-                self.extra_cost(candidate, has_punctual_local) + self.max_jitter * random();
+                self.extra_cost(candidate, has_responsive_local) + self.max_jitter * random();
             let cost = candidate.cost + extra_cost;
             if best.is_none_or(|(lowest, _)| cost < lowest) {
                 best = Some((cost, index));
@@ -90,7 +90,7 @@
         let Some((_, local)) = best_local else {
             return Some(chosen);
         };
-        let is_bounded = !is_repeat && has_punctual_local && self.leaving_share < 1.0;
+        let is_bounded = !is_repeat && has_responsive_local && self.leaving_share < 1.0;
         if is_bounded
             && self.saves_little(&candidates[local], &candidates[chosen])
             && random() >= self.leaving_share
@@ -104,7 +104,7 @@
     /// leave, or has to because no local upstream answers in time.
     pub fn remote_saving(&self, candidates: &[RankedReplica]) -> Option<RemoteSaving> {
         let best_tier = best_tier(candidates, false)?;
-        if !has_punctual_local(candidates, best_tier) {
+        if !has_responsive_local(candidates, best_tier) {
             return None;
         }
         let lowest_cost = |is_local: bool| {
@@ -134,10 +134,10 @@
     }
 
     /// Returns what is added to the cost of a candidate, without the random term, in typical latencies.
-    fn extra_cost(&self, candidate: &RankedReplica, has_punctual_local: bool) -> f64 {
+    fn extra_cost(&self, candidate: &RankedReplica, has_responsive_local: bool) -> f64 {
         let remote_cost = match candidate.is_local {
             true => 0.0,
-            false => self.remote_cost_of(candidate, has_punctual_local),
+            false => self.remote_cost_of(candidate, has_responsive_local),
         };
         let limited_cost = match candidate.is_limited {
             true => self.limited_cost,
@@ -149,10 +149,10 @@
     /// Returns the extra cost of a candidate in another failure domain, in typical latencies.
     ///
     /// A stated cost is raised by the maximum jitter, so that the random term alone never sends an attempt away.
-    fn remote_cost_of(&self, candidate: &RankedReplica, has_punctual_local: bool) -> f64 {
+    fn remote_cost_of(&self, candidate: &RankedReplica, has_responsive_local: bool) -> f64 {
         match candidate.remote_cost {
             None => self.remote_cost,
-            Some(cost) if has_punctual_local => cost + self.max_jitter,
+            Some(cost) if has_responsive_local => cost + self.max_jitter,
             Some(cost) => (cost + self.max_jitter).min(self.remote_cost),
         }
     }
@@ -168,10 +168,10 @@
 }
 
 /// Returns whether a candidate of this failure domain is not overdue.
-fn has_punctual_local(candidates: &[RankedReplica], best_tier: u32) -> bool {
+fn has_responsive_local(candidates: &[RankedReplica], best_tier: u32) -> bool {
     candidates.iter().any(|candidate| {
-        let is_punctual = candidate.is_local && !candidate.is_overdue;
-        is_punctual && !candidate.is_excluded && tier(candidate) == best_tier
+        let is_responsive = candidate.is_local && !candidate.is_overdue;
+        is_responsive && !candidate.is_excluded && tier(candidate) == best_tier
     })
 }
 
