--- a/review/rig-2/src/instance.rs
+++ b/review/rig-2/src/instance.rs
@@ -22,6 +22,7 @@
 }
 
 pub struct Instance {
+    command: (PathBuf, PathBuf),
     pub child: Child,
     pub front: SocketAddr,
     pub ready: SocketAddr,
@@ -58,16 +59,21 @@
         let path = folder.join(format!("{}.json", options.name));
         std::fs::write(&path, settings).expect("the settings can be written");
         let log = folder.join(format!("{}.log", options.name));
-        let output = File::create(&log).expect("the log can be written");
-        let child = Command::new(root.join("target/release/anvilhub-platform"))
-            .current_dir(root)
-            .env("ANVILHUB_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone().expect("a file can be cloned"))
-            .stderr(output)
-            .spawn()
-            .expect("the program starts; build it as the deploy file says");
-        Self { child, front, ready, control, log }
+        let command = (root.to_owned(), path);
+        let child = spawn(&command, &log);
+        Self { command, child, front, ready, control, log }
+    }
+
+    /// Starts the program again with the same settings, once the process has ended.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.command, &self.log);
+    }
+
+    /// Memory of the process, in kB; 0 if it has ended.
+    pub fn memory_kb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS"));
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
     }
 
     /// Waits until the instance says that it is ready; returns whether it does so in time.
@@ -97,6 +103,19 @@
     }
 }
 
+/// Starts the program with the command of the deploy file.
+fn spawn((root, settings): &(PathBuf, PathBuf), log: &Path) -> Child {
+    let output = File::options().create(true).append(true).open(log).expect("the log can be written");
+    Command::new(root.join("target/release/anvilhub-platform"))
+        .current_dir(root)
+        .env("ANVILHUB_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone().expect("a file can be cloned"))
+        .stderr(output)
+        .spawn()
+        .expect("the program starts; build it as the deploy file says")
+}
+
 fn ready_status(address: SocketAddr) -> Option<u16> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok()?;
     stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
--- a/review/rig-2/src/store.rs
+++ b/review/rig-2/src/store.rs
@@ -9,8 +9,9 @@
 
 use crate::http::read_message;
 
-/// Number of items of a page.
+/// Number of items of a page, and number of bytes of their values after which a page ends.
 const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Default)]
 struct State {
@@ -49,10 +50,15 @@
 
     /// Writes a value and returns the revision: the acknowledgement.
     pub fn put(&self, key: &str, value: &str) -> u64 {
+        self.put_bytes(key, value.as_bytes())
+    }
+
+    /// Writes any bytes.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) -> u64 {
         let mut state = self.state.0.lock().expect("no thread panicked");
         state.revision += 1;
         let revision = state.revision;
-        let encoded = encode_base64(value.as_bytes());
+        let encoded = encode_base64(value);
         let created = state.items.get(key).map_or(revision, |item| item.2);
         state.items.insert(key.to_owned(), (encoded.clone(), revision, created));
         state.history.push((revision, key.to_owned(), Some(encoded)));
@@ -114,13 +120,17 @@
 
     fn range(&self, prefix: &str, after: &str) -> String {
         let state = self.state.0.lock().expect("no thread panicked");
-        let mut matching = state.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let items: Vec<String> = matching
-            .by_ref()
-            .take(PAGE_ITEMS)
-            .map(|(key, (value, revision, created))| item_text(key, value, *revision, *created))
-            .collect();
-        let more = matching.next().is_some();
+        let matching = state.items.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let mut items: Vec<String> = Vec::new();
+        let (mut bytes, mut more) = (0, false);
+        for (key, (value, revision, created)) in matching {
+            if items.len() == PAGE_ITEMS || bytes > PAGE_BYTES {
+                more = true;
+                break;
+            }
+            bytes += value.len();
+            items.push(item_text(key, value, *revision, *created));
+        }
         format!("{{\"items\":[{}],\"more_pages\":{more},\"as_of\":{}}}", items.join(","), state.revision)
     }
 
