--- a/review/rig-2/src/instance.rs
+++ b/review/rig-2/src/instance.rs
@@ -69,6 +69,13 @@
         self.child = spawn(&self.command, &self.log);
     }
 
+    /// Replaces a text in the settings file, as the platform does when the settings change.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.command.1).expect("the settings can be read");
+        assert!(text.contains(from), "{from}");
+        std::fs::write(&self.command.1, text.replace(from, to)).expect("the settings can be written");
+    }
+
     /// Memory of the process, in kB; 0 if it has ended.
     pub fn memory_kb(&self) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
