--- a/review/rig-2/src/bin/slow_readers.rs
+++ b/review/rig-2/src/bin/slow_readers.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::process::exit;
-use std::sync::{Arc, Barrier, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,17 +15,16 @@
 use anvilhub_review_rig_2::store::Store;
 use anvilhub_review_rig_2::sys;
 
-/// Requesters, each with one connection.
-const REQUESTERS: usize = 300;
+/// Requesters, each with one connection. They come at the rate of `archive-lookup` for 20 s.
+const REQUESTERS: usize = 168;
+const REQUESTS_PER_SECOND: f64 = 8.41;
 /// Size of an answer.
-const ANSWER_BYTES: usize = 262_144;
+const ANSWER_BYTES: usize = 1_048_576;
 /// Time limit of the requests and `timeout_ms` of their route, those of `archive-lookup`.
 const TIME_LIMIT_MS: u64 = 10_000;
 /// A slow requester takes so much, then rests for so long.
 const READ_BYTES: usize = 8_192;
-const READ_PAUSE: Duration = Duration::from_millis(150);
-/// The requesters send one after the other, since an instance reads only a part of all answers from the replicas at once.
-const SEND_GAP: Duration = Duration::from_millis(4);
+const READ_PAUSE: Duration = Duration::from_millis(50);
 /// Receive buffer of a requester's socket.
 const RECEIVE_BUFFER: i32 = 8_192;
 /// Number of connections that LOST lets a machine close without an answer.
@@ -96,11 +95,13 @@
     }
     // In touch from here on: nothing has happened to the machine or the store for `stability_window_ms`.
     thread::sleep(Duration::from_millis(5_500));
-    let barrier = Arc::new(Barrier::new(REQUESTERS));
     let threads: Vec<_> = (0..REQUESTERS)
         .map(|number| {
-            let (barrier, record, front) = (Arc::clone(&barrier), record.clone(), instance.front);
-            thread::spawn(move || request_twice(number, front, is_slow, &barrier, &record))
+            let (record, front) = (record.clone(), instance.front);
+            thread::spawn(move || {
+                thread::sleep(Duration::from_secs_f64(number as f64 / REQUESTS_PER_SECOND));
+                request_twice(number, front, is_slow, &record)
+            })
         })
         .collect();
     let outcomes: Vec<Option<Outcome>> =
@@ -140,13 +141,7 @@
 }
 
 /// Sends a small request, and on the same connection one with a long answer.
-fn request_twice(
-    number: usize,
-    front: SocketAddr,
-    is_slow: bool,
-    barrier: &Barrier,
-    record: &Record,
-) -> Option<Outcome> {
+fn request_twice(number: usize, front: SocketAddr, is_slow: bool, record: &Record) -> Option<Outcome> {
     let stream = sys::connect_small(front, RECEIVE_BUFFER).ok();
     let first = stream.as_ref().and_then(|stream| {
         stream.set_read_timeout(Some(Duration::from_millis(TIME_LIMIT_MS))).ok()?;
@@ -154,11 +149,8 @@
         writer.write_all(request_text("small", &format!("p-{number}")).as_bytes()).ok()?;
         read_message(&mut BufReader::new(stream)).ok()?
     });
-    // All requesters wait for each other, also if one failed.
-    barrier.wait();
     let is_kept = first.is_some_and(|answer| answer.status() == 200 && answer.body.len() == 1_000);
     let stream = stream.filter(|_| is_kept)?;
-    thread::sleep(SEND_GAP * number as u32);
     let started_at = Instant::now();
     record.write(format!("q-{number} sent"));
     (&stream).write_all(request_text("long", &format!("q-{number}")).as_bytes()).ok()?;
