--- a/crates/anvilhub-coord/src/ids/id_error.rs
+++ b/crates/anvilhub-coord/src/ids/id_error.rs
@@ -19,4 +19,10 @@
         /// The text that was given.
         found: String,
     },
+    /// The text is not a fingerprint of 32 hexadecimal digits.
+    #[display("fingerprint `{found}` is not 32 hexadecimal digits; copy it whole from the log")]
+    Fingerprint {
+        /// The text that was given.
+        found: String,
+    },
 }
--- a/crates/anvilhub-coord/src/lib.rs
+++ b/crates/anvilhub-coord/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod border;
 pub mod configuration;
 pub mod connection;
+pub mod crash;
 pub mod fleet;
 pub mod gateway;
 pub mod gather;
--- a/crates/anvilhubd/src/fleet/feed_thread.rs
+++ b/crates/anvilhubd/src/fleet/feed_thread.rs
@@ -153,6 +153,7 @@
             wants_members,
             wait_ms: wait.as_millis() as u64,
             limits: self.state.limits.collect_notes(),
+            crashes: self.state.crashes.collect_notes(),
         };
         let call_timeout = wait + settings.call_timeout;
         let sent_at = self.state.now();
--- a/crates/anvilhubd/src/fleet/fleet_server.rs
+++ b/crates/anvilhubd/src/fleet/fleet_server.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhub_coord::crash::CrashNote;
 use anvilhub_coord::fleet::MemberGossip;
 use anvilhub_coord::limit::LimitNote;
 use jsonrpsee::core::async_trait;
@@ -36,13 +37,18 @@
         &self,
         members: Vec<MemberGossip>,
         limits: Option<Vec<LimitNote>>,
+        crashes: Option<Vec<CrashNote>>,
     ) -> Result<ExchangeAnswer, ErrorObjectOwned> {
         self.state.record_gossip(members);
         self.state.limits.record_notes(&limits.unwrap_or_default());
+        self.state
+            .crashes
+            .record_notes(&crashes.unwrap_or_default());
         Ok(ExchangeAnswer {
             members: self.state.collect_gossip(),
             is_feed_current: self.state.is_feed_current(),
             limits: self.state.limits.collect_notes(),
+            crashes: self.state.crashes.collect_notes(),
         })
     }
 
@@ -50,6 +56,7 @@
         let wait = Duration::from_millis(call.wait_ms).min(MAX_FOLLOW_WAIT);
         self.state.record_contact(call.sender.clone());
         self.state.limits.record_notes(&call.limits);
+        self.state.crashes.record_notes(&call.crashes);
         Ok(self.state.answer_follower(&call, wait).await)
     }
 
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -22,8 +22,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    FeedState, FleetApiClient, FleetSettings, FollowAnswer, FollowCall, LimitState, ReaderUpdate,
-    WarmupState,
+    CrashState, FeedState, FleetApiClient, FleetSettings, FollowAnswer, FollowCall, LimitState,
+    ReaderUpdate, WarmupState,
 };
 
 /// What this instance knows about the other members and the platform's values. Shared by the threads and calls that
@@ -43,6 +43,8 @@
     pub(crate) limits: LimitState,
     /// The upstreams that are cold.
     pub(crate) warmups: WarmupState,
+    /// The requests that upstreams crashed under.
+    pub(crate) crashes: CrashState,
     /// Whether a running instance told this one which members it knows.
     has_joined: AtomicBool,
     /// Wakes the calls of followers that wait for an update.
@@ -71,6 +73,7 @@
             is_platform_unreachable: AtomicBool::new(false),
             limits: LimitState::new(clock, settings.instance.clone()),
             warmups: WarmupState::new(clock, settings.instance.clone(), settings.warmup_bound),
+            crashes: CrashState::new(clock),
             has_joined: AtomicBool::new(false),
             state_changed: Notify::new(),
         })
@@ -163,6 +166,20 @@
         })
     }
 
+    /// Returns the readers of the other failure domains.
+    pub(super) fn remote_readers(&self) -> Vec<MemberInfo> {
+        let now = self.clock.now();
+        self.table.with(|table| {
+            let readers = ReaderRule::default().remote_readers(table, now);
+            readers.into_iter().cloned().collect()
+        })
+    }
+
+    /// Wakes the calls of followers that wait for news.
+    pub(super) fn wake_followers(&self) {
+        self.state_changed.notify_waiters();
+    }
+
     /// Records that a running instance told this one which members it knows.
     pub(super) fn record_join(&self) {
         self.has_joined.store(true, Ordering::Release);
@@ -320,6 +337,7 @@
         });
         let age = contact.map(|contact| now.since(contact));
         self.limits.record_notes(&answer.limits);
+        self.crashes.record_notes(&answer.crashes);
         let is_fresh = age.is_some_and(|age| age < self.settings.stale_after);
         let known_era = self.place().map(|place| place.era);
         let is_behind = answer.era.is_some_and(|era| Some(era) < known_era);
@@ -401,10 +419,12 @@
     pub(crate) async fn answer_follower(&self, call: &FollowCall, wait: Duration) -> FollowAnswer {
         let received_at = Instant::now();
         let end = received_at + wait;
+        let urgent_count = self.crashes.urgent_count();
         loop {
             let changed = self.state_changed.notified();
             let answer = self.build_answer(call, received_at);
             let has_nothing_new = answer.update.is_none()
+                && self.crashes.urgent_count() == urgent_count
                 && answer.is_platform_unreachable == call.is_platform_unreachable
                 && !answer.sender.is_leaving;
             if !has_nothing_new {
@@ -429,9 +449,11 @@
         };
         let sender = self.own_info();
         let limits = self.limits.collect_notes();
+        let crashes = self.crashes.collect_notes();
         self.feed.with(|feed| FollowAnswer {
             sender,
             limits,
+            crashes,
             update: feed
                 .log
                 .changes_for(call.place(feed.log.place()), call.value_count),
--- a/crates/anvilhubd/src/fleet/follow_answer.rs
+++ b/crates/anvilhubd/src/fleet/follow_answer.rs
@@ -1,3 +1,4 @@
+use anvilhub_coord::crash::CrashNote;
 use anvilhub_coord::fleet::{FeedUpdate, MemberGossip, MemberInfo};
 use anvilhub_coord::ids::PlatformEra;
 use anvilhub_coord::limit::LimitNote;
@@ -32,4 +33,7 @@
     /// The limits of upstreams that the sender knows; none from an instance of an earlier version.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) limits: Vec<LimitNote>,
+    /// The requests that crashed upstreams, as far as the sender knows; none from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) crashes: Vec<CrashNote>,
 }
--- a/crates/anvilhubd/src/fleet/gossip_loop.rs
+++ b/crates/anvilhubd/src/fleet/gossip_loop.rs
@@ -16,6 +16,8 @@
 /// Average number of exchanges of which one goes to a seed, so that groups of instances that lost contact find each
 /// other again.
 const EXCHANGES_PER_SEED_EXCHANGE: u32 = 4;
+/// Minimum time between two rounds in which crashes are passed on at once.
+const URGENT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Exchanges member information with other instances.
 pub(crate) struct GossipLoop {
@@ -52,7 +54,14 @@
     /// known, goes to a seed instead.
     pub(crate) async fn run(&self) {
         loop {
-            sleep(self.next_interval()).await;
+            tokio::select! {
+                () = sleep(self.next_interval()) => {}
+                () = self.state.crashes.wait_urgent() => {
+                    self.pass_on_crashes().await;
+                    sleep(URGENT_PAUSE).await;
+                    continue;
+                }
+            }
             let prefers_seed = match self.state.choose_role() {
                 FeedRole::Follower(_) => continue,
                 FeedRole::Reader => rand::rng().random_range(0..EXCHANGES_PER_SEED_EXCHANGE) == 0,
@@ -71,6 +80,21 @@
         }
     }
 
+    /// Tells the reader that this instance follows of a crash at once, or the readers of the other failure domains if this
+    /// instance is one. What a reader hears reaches its followers with the answers to their waiting calls.
+    async fn pass_on_crashes(&self) {
+        self.state.wake_followers();
+        let readers = match self.state.choose_role() {
+            FeedRole::Follower(reader) => vec![*reader],
+            FeedRole::Reader => self.state.remote_readers(),
+        };
+        for reader in readers {
+            if let Err(error) = self.exchange(reader.peer_address).await {
+                self.state.mark_suspect(&reader.instance, &error);
+            }
+        }
+    }
+
     /// Returns the time until the next exchange: the interval, varied by up to a quarter so that instances that started
     /// together do not call at the same time.
     fn next_interval(&self) -> Duration {
@@ -115,15 +139,17 @@
         let call_timeout = self.state.settings.call_timeout;
         let members = self.state.collect_gossip();
         let limits = Some(self.state.limits.collect_notes());
+        let crashes = Some(self.state.crashes.collect_notes());
         let answer = self
             .state
             .clients
             .call(address, call_timeout, |client| async move {
-                client.exchange(members, limits).await
+                client.exchange(members, limits, crashes).await
             })
             .await?;
         self.state.record_gossip(answer.members.clone());
         self.state.limits.record_notes(&answer.limits);
+        self.state.crashes.record_notes(&answer.crashes);
         Ok(answer)
     }
 }
--- a/crates/anvilhubd/src/gateway/attempt_outcome.rs
+++ b/crates/anvilhubd/src/gateway/attempt_outcome.rs
@@ -39,6 +39,8 @@
     Withdrawn,
     /// The request was not sent, because the upstream was removed, is leaving, rests, is cold or is evacuated.
     Unsuitable,
+    /// The upstream has crashed while it held the request, which may have run.
+    Crashed { reason: String },
     /// The request was sent and may have run: there is no usable answer, for this reason.
     Unknown { kind: FailureKind, reason: String },
 }
@@ -51,7 +53,10 @@
                 true
             }
             Self::NotRun { status } => *status == StatusCode::MISDIRECTED_REQUEST,
-            Self::Answered(_) | Self::FailedAtUpstream(_) | Self::Unknown { .. } => false,
+            Self::Answered(_)
+            | Self::FailedAtUpstream(_)
+            | Self::Crashed { .. }
+            | Self::Unknown { .. } => false,
         }
     }
 }
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -14,6 +14,7 @@
 
 use crate::pool::{PoolError, UpstreamConnection};
 
+use super::crash_probe::has_ended;
 use super::{
     AttemptGuard, AttemptOutcome, ConnectionGrant, ForwardedRequest, Gateway, RemoteMeter,
     RouteState, SendGate, SendMetadata, TrackedUpstream, UpstreamAnswer, wait_cold,
@@ -94,6 +95,7 @@
                 self.record_unsent();
                 drop(guard);
             }
+            AttemptOutcome::Crashed { .. } => guard.record_failure(FailureKind::Broken),
             AttemptOutcome::Unknown { kind, .. } => guard.record_failure(*kind),
         }
         outcome
@@ -148,8 +150,8 @@
         self.log_long_wait(permitted_at.since(started_at), now.since(permitted_at));
         let is_reused = connection.is_used();
         let limit = self.gateway.settings.max_answer_size;
-        let answer = timeout(time_left, connection.send(request, limit, || {})).await;
         let sent_at = now;
+        let answer = timeout(time_left, connection.send(request, limit, || {})).await;
         let now = self.gateway.clock.now();
         let outcome = match answer {
             Ok(Ok((head, body))) => {
@@ -167,7 +169,7 @@
                 }
                 outcome
             }
-            Ok(Err(error)) => self.classify_error(error),
+            Ok(Err(error)) => self.classify_error(sent_at, error).await,
             Err(_) => {
                 self.upstream
                     .idle_connections
@@ -192,7 +194,8 @@
         if !fleet.try_send(now, &self.upstream.process) {
             return Some(AttemptOutcome::Unsuitable);
         }
-        if !self.gate.pass() {
+        let crashes = &fleet.crashes;
+        if crashes.verdict(&self.request.fingerprint).is_blamed() || !self.gate.pass() {
             fleet.warmups.retract(now, &self.upstream.process);
             return Some(AttemptOutcome::Withdrawn);
         }
@@ -376,17 +379,25 @@
             signature,
             body,
         };
+        let crashes = &self.gateway.fleet.crashes;
+        crashes.record_completion(self.request.fingerprint);
         match answer.status.is_success() {
             true => AttemptOutcome::Answered(answer),
             false => AttemptOutcome::FailedAtUpstream(answer),
         }
     }
 
-    fn classify_error(&self, error: PoolError) -> AttemptOutcome {
+    /// Decides from an error how an attempt sent at `sent_at` ended, and records a crash of the upstream.
+    async fn classify_error(&self, sent_at: ClockTime, error: PoolError) -> AttemptOutcome {
         match error {
             PoolError::Unconnected { reason, .. } | PoolError::Unsent { reason, .. } => {
                 not_sent(&reason)
             }
+            PoolError::Broken { reason, .. } if has_ended(self.upstream.record.address).await => {
+                let crashes = &self.gateway.fleet.crashes;
+                crashes.record_crash(self.request.fingerprint, &self.upstream.record.id, sent_at);
+                AttemptOutcome::Crashed { reason }
+            }
             other => unknown(&other.to_string()),
         }
     }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -1,6 +1,8 @@
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use anvilhub_coord::crash::{RunCrashes, SendVerdict};
 use anvilhub_coord::gateway::{
     CapacityClaim, CutoffVerdict, HedgeRule, RankedReplica, RemoteCost, ReplicaRanker, SkipRule,
     SubRequestState, TopRecords,
@@ -36,6 +38,12 @@
     may_have_run: bool,
     /// What the bytes of an attempt are worth if it leaves the failure domain; `None` without a price.
     transfer_time: Option<Duration>,
+    /// How carefully attempts are sent after crashes of upstreams.
+    crashes: RunCrashes,
+    /// The gate of the attempt that shows whether the request crashes upstreams; `None` while there is none.
+    trial: Option<Arc<SendGate>>,
+    /// Sub-requests whose next attempt waits for the outcome of the trial.
+    held: VecDeque<(usize, SendCause)>,
     guard: RunGuard,
     report_sender: UnboundedSender<AttemptReport>,
     report_receiver: UnboundedReceiver<AttemptReport>,
@@ -64,6 +72,7 @@
         let transfer_time = gateway.settings.remote_price.map(|price| {
             RemoteCost::transfer_time(request.size(), route_state.expected_answer_size(), price)
         });
+        let crashes = RunCrashes::new(gateway.fleet.crashes.verdict(&request.fingerprint));
         let (report_sender, report_receiver) = unbounded_channel();
         Self {
             gateway,
@@ -76,6 +85,9 @@
             extra_send_count: 0,
             may_have_run: false,
             transfer_time,
+            crashes,
+            trial: None,
+            held: VecDeque::new(),
             guard: RunGuard::new(grace_period),
             report_sender,
             report_receiver,
@@ -264,6 +276,16 @@
         if sub_request.send_count >= self.plan.max_attempts {
             return false;
         }
+        match self.crashes.verdict() {
+            SendVerdict::Send => {}
+            SendVerdict::Hold if cause == SendCause::Hedge => return false,
+            SendVerdict::Hold => {
+                sub_request.state = SubRequestState::Waiting;
+                self.held.push_back((index, cause));
+                return true;
+            }
+            SendVerdict::Refuse => return false,
+        }
         let is_extra = sub_request.send_count > 0;
         let is_allowed = match (cause, is_extra) {
             (SendCause::First, _) => {
@@ -302,7 +324,10 @@
             .limits
             .record_send(&upstream.process, is_extra);
         self.gateway.fleet.warmups.reserve(&upstream.process);
-        self.start_attempt(index, upstream, is_extra);
+        let gate = self.start_attempt(index, upstream, is_extra);
+        if self.crashes.record_send() {
+            self.trial = Some(gate);
+        }
         true
     }
 
@@ -342,8 +367,13 @@
         Some((Arc::clone(&group.upstreams[chosen]), candidates[chosen]))
     }
 
-    /// Starts an attempt in the background; its outcome arrives at `report_receiver`.
-    fn start_attempt(&mut self, index: usize, upstream: Arc<TrackedUpstream>, is_extra: bool) {
+    /// Starts an attempt in the background, and returns its gate; its outcome arrives at `report_receiver`.
+    fn start_attempt(
+        &mut self,
+        index: usize,
+        upstream: Arc<TrackedUpstream>,
+        is_extra: bool,
+    ) -> Arc<SendGate> {
         let deadline = self.plan.arrived_at + self.plan.cutoff.final_cutoff;
         let gate = Arc::new(SendGate::default());
         // The cost of leaving contains the extra round trip; the upstream's observed slowdown must not count it again.
@@ -377,11 +407,11 @@
             // Sending fails if the request has already ended and the receiver was dropped.
             let _ = report_sender.send(report);
         });
-        self.guard.add(&task, gate);
+        self.guard.add(&task, Arc::clone(&gate));
+        gate
     }
 
-    /// Records how an attempt ended, and sends the sub-request to another upstream if repeating it is allowed and an
-    /// upstream is available.
+    /// Records how an attempt ended, and what follows from it.
     fn handle_report(&mut self, report: AttemptReport) {
         let AttemptReport {
             index,
@@ -389,6 +419,40 @@
             outcome,
         } = report;
         self.guard.forget(&gate);
+        self.record_crash_outcome(&gate, &outcome);
+        self.handle_outcome(index, outcome);
+        self.resume_held();
+    }
+
+    /// Records what the outcome of an attempt shows about crashes.
+    fn record_crash_outcome(&mut self, gate: &Arc<SendGate>, outcome: &AttemptOutcome) {
+        let is_trial = self
+            .trial
+            .as_ref()
+            .is_some_and(|trial| Arc::ptr_eq(trial, gate));
+        match outcome {
+            AttemptOutcome::Answered(_) | AttemptOutcome::FailedAtUpstream(_) => {
+                self.crashes.record_completion();
+            }
+            AttemptOutcome::Crashed { .. } => self.crashes.record_crash(is_trial),
+            _ => self.crashes.record_other_end(is_trial),
+        }
+    }
+
+    /// Sends the sub-requests that no longer have to wait for the trial.
+    fn resume_held(&mut self) {
+        while let Some((index, cause)) = self.held.pop_front() {
+            match self.crashes.verdict() {
+                SendVerdict::Hold => return self.held.push_front((index, cause)),
+                SendVerdict::Send if self.send_to_another(index, cause) => {}
+                SendVerdict::Send | SendVerdict::Refuse => self.record_unserved(index),
+            }
+        }
+    }
+
+    /// Decides what follows from the outcome of an attempt: sends the sub-request to another upstream if repeating it is
+    /// allowed and an upstream is available.
+    fn handle_outcome(&mut self, index: usize, outcome: AttemptOutcome) {
         let is_idempotent = self.plan.repeat_policy == RepeatPolicy::Idempotent;
         let sub_request = &mut self.sub_requests[index];
         sub_request.in_flight_count -= 1;
@@ -433,7 +497,7 @@
                 sub_request.send_count -= 1;
                 (false, SendCause::Resend)
             }
-            AttemptOutcome::Unknown { reason, .. } => {
+            AttemptOutcome::Crashed { reason } | AttemptOutcome::Unknown { reason, .. } => {
                 self.may_have_run = true;
                 sub_request.outcome = SubRequestOutcome::Ended(reason);
                 (is_idempotent, SendCause::Retry)
@@ -442,8 +506,13 @@
         if may_retry && self.send_to_another(index, cause) {
             return;
         }
+        self.record_unserved(index);
+    }
+
+    /// Records that a sub-request gets no further attempt. It has failed unless one is in flight.
+    fn record_unserved(&mut self, index: usize) {
         let sub_request = &mut self.sub_requests[index];
-        if sub_request.in_flight_count == 0 {
+        if sub_request.in_flight_count == 0 && sub_request.state != SubRequestState::Done {
             sub_request.state = SubRequestState::Failed;
             sub_request.hedge_at = None;
         }
--- a/crates/anvilhubd/src/gateway/forwarded_request.rs
+++ b/crates/anvilhubd/src/gateway/forwarded_request.rs
@@ -1,9 +1,10 @@
 use std::sync::atomic::AtomicBool;
 
-use anvilhub_coord::ids::ByteSize;
+use anvilhub_coord::ids::{ByteSize, RequestFingerprint};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Uri};
 
 /// Headers that concern a single connection and are not forwarded.
@@ -18,6 +19,9 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Headers that name the caller.
+const CALLER_HEADERS: [HeaderName; 2] = [header::AUTHORIZATION, header::COOKIE];
+
 /// Length of the colon, the space and the line end of a header line.
 const HEADER_SEPARATORS_LEN: usize = 4;
 
@@ -25,6 +29,8 @@
 /// forwarded.
 pub(super) struct ForwardedRequest {
     pub(super) id: HeaderValue,
+    /// What makes two requests the same, whichever attempt of a caller and whichever instance they are.
+    pub(super) fingerprint: RequestFingerprint,
     pub(super) method: Method,
     pub(super) target: Uri,
     pub(super) headers: HeaderMap,
@@ -58,6 +64,28 @@
     }
 }
 
+/// Computes the fingerprint of a request: method, host, path and query, caller and body. Other headers and the caller's
+/// address may differ between the attempts of one caller.
+pub(super) fn compute_fingerprint(
+    method: &Method,
+    target: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> RequestFingerprint {
+    let header_value = |name: &HeaderName| {
+        let value = headers.get(name);
+        value.map_or(&[][..], HeaderValue::as_bytes)
+    };
+    let target = target.path_and_query().map_or("/", PathAndQuery::as_str);
+    let callers = CALLER_HEADERS.iter().map(header_value);
+    let parts = [
+        method.as_str().as_bytes(),
+        header_value(&header::HOST),
+        target.as_bytes(),
+    ];
+    RequestFingerprint::compute(parts.into_iter().chain(callers).chain([body]))
+}
+
 /// Returns the length of the header lines.
 pub(super) fn headers_len(headers: &HeaderMap) -> usize {
     let line_len = |(name, value): (&HeaderName, &HeaderValue)| {
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -160,6 +160,7 @@
             limits_reported_at = Instant::now();
             gateway.fleet.limits.report_sends();
             gateway.fleet.warmups.report();
+            gateway.fleet.crashes.forget_old();
             gateway.ledger.report();
         }
         if !gateway.is_draining() {
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use anvilhub_coord::crash::CrashVerdict;
 use anvilhub_coord::fleet::{DomainShares, MemberInfo};
 use anvilhub_coord::gateway::{
     AnswerDeadline, CapacityClaim, GatherCutoff, HomeRegions, HostName, RetryAdvice, RouteRule,
@@ -20,7 +21,7 @@
 use crate::caller::{BodyReader, HttpHandler};
 use crate::memory::ClientAccount;
 
-use super::forwarded_request::remove_hop_by_hop_headers;
+use super::forwarded_request::{compute_fingerprint, remove_hop_by_hop_headers};
 use super::relay_handler::decline_relay;
 use super::{
     CallerWatch, FanoutOutcome, FanoutPlan, FanoutRun, ForwardedRequest, Gateway, RelayHeaders,
@@ -150,6 +151,16 @@
             }
         };
         let request = build_forwarded_request(head, target, &metadata, body);
+        let crashes = &self.gateway.fleet.crashes;
+        if let CrashVerdict::Blamed { left } = crashes.verdict(&request.fingerprint) {
+            metrics::counter!("anvilhub_blamed_refusals_total").increment(1);
+            request_log.reason = "crashes_upstreams";
+            let response = not_run_response(left, time_left);
+            return HandledRequest {
+                response,
+                request_log,
+            };
+        }
         let response = self
             .forward(
                 arrived_at,
@@ -390,7 +401,9 @@
     body: Bytes,
 ) -> ForwardedRequest {
     remove_hop_by_hop_headers(&mut head.headers);
+    let fingerprint = compute_fingerprint(&head.method, &target, &head.headers, &body);
     ForwardedRequest {
+        fingerprint,
         id: metadata
             .request_id
             .clone()
