Gateway: an instance that reaches no upstream serves its callers through one that does (RECOVER)

Cause: an instance kept failures by upstream and had no picture of its own reach, and it had no other way for a request but its own connections; only gathered requests of small instances went through another one. The class of fault: a failure of one's own taken for failures of all others.

Change: attempts in silence or failures to open connections give reason for a round of four probes, of upstreams that have not failed if there are any; if all fail and no upstream has given a sign, the instance is cut off. Its requests, of both kinds, then go to any other instance that reaches upstreams, in proportion to size, over the relay that exists: one hop at most, at most once, with the time that is left. Members announce that they are cut off, and a cut-off relay declines. Requests that wait for upstreams when the cut is found go the same way if they may run again, as do those that found no connection while new ones are refused. Where no instance accepts, 503 at once. Probes go on four times a second; after the return requests come back over one second.

--- a/crates/anvilhub-coord/src/fleet/fleet_table.rs
+++ b/crates/anvilhub-coord/src/fleet/fleet_table.rs
@@ -77,6 +77,11 @@
         self.own_info.is_leaving = true;
     }
 
+    /// Records whether this instance reaches the upstreams.
+    pub fn set_own_cut_off(&mut self, is_cut_off: bool) {
+        self.own_info.is_cut_off = is_cut_off;
+    }
+
     /// Records what another instance passed on about a member. Ignores information that is outdated, that is not newer
     /// than what is known, or that is about this instance.
     pub fn record_gossip(&mut self, now: ClockTime, gossip: MemberGossip) {
--- a/crates/anvilhub-coord/src/fleet/member_info.rs
+++ b/crates/anvilhub-coord/src/fleet/member_info.rs
@@ -23,4 +23,7 @@
     pub relay_address: SocketAddr,
     /// Whether it is about to stop and accepts no new work.
     pub is_leaving: bool,
+    /// Whether it reaches no upstream; never from an instance of an earlier version.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_cut_off: bool,
 }
--- a/crates/anvilhub-coord/src/fleet/relay_rule.rs
+++ b/crates/anvilhub-coord/src/fleet/relay_rule.rs
@@ -48,7 +48,7 @@
     ) -> Option<&'a MemberInfo> {
         let min_cores = own.cores.get() * self.min_size_ratio;
         let mut relays: Vec<&MemberInfo> = members
-            .filter(|member| !member.is_leaving && member.cores.get() >= min_cores)
+            .filter(|member| is_able(member) && member.cores.get() >= min_cores)
             .collect();
         let share = |relay: &MemberInfo| shares.share(&relay.failure_domain);
         let best_share = relays.iter().map(|relay| share(relay)).fold(0.0, f64::max);
@@ -56,16 +56,38 @@
         if relays.iter().any(|relay| is_local(own, relay)) {
             relays.retain(|relay| is_local(own, relay));
         }
-        let total_weight: f64 = relays.iter().map(|relay| weight(relay.cores)).sum();
-        let mut remaining = total_weight * random;
-        for relay in &relays {
-            remaining -= weight(relay.cores);
-            if remaining < 0.0 {
-                return Some(relay);
-            }
+        choose_weighted(&relays, random)
+    }
+
+    /// Chooses the instance through which one that reaches no upstream serves a request: any one that does, at random with
+    /// probabilities in proportion to size, so that the largest bear most of what a whole failure domain needs. `random` is
+    /// a number from 0 to 1.
+    pub fn choose_helper<'a>(
+        &self,
+        members: impl Iterator<Item = &'a MemberInfo>,
+        random: f64,
+    ) -> Option<&'a MemberInfo> {
+        let helpers: Vec<&MemberInfo> = members.filter(|member| is_able(member)).collect();
+        choose_weighted(&helpers, random)
+    }
+}
+
+/// Chooses a member with a probability in proportion to its size.
+fn choose_weighted<'a>(members: &[&'a MemberInfo], random: f64) -> Option<&'a MemberInfo> {
+    let total_weight: f64 = members.iter().map(|member| weight(member.cores)).sum();
+    let mut remaining = total_weight * random;
+    for member in members {
+        remaining -= weight(member.cores);
+        if remaining < 0.0 {
+            return Some(member);
         }
-        relays.last().copied()
     }
+    members.last().copied()
+}
+
+/// Returns whether a member accepts requests and can serve them.
+fn is_able(member: &MemberInfo) -> bool {
+    !member.is_leaving && !member.is_cut_off
 }
 
 fn is_local(own: &MemberInfo, relay: &MemberInfo) -> bool {
--- /dev/null
+++ b/crates/anvilhub-coord/src/gateway/reach_state.rs
@@ -0,0 +1,147 @@
+use std::time::Duration;
+
+use crate::time::ClockTime;
+
+/// Time without a sign of any upstream, while attempts wait for one, after which an instance doubts its links. Answers of
+/// sound upstreams arrive within a fraction of it.
+const SILENCE: Duration = Duration::from_millis(250);
+/// Minimum number of attempts that must wait in a silence. A single one may be at an upstream that has paused.
+const MIN_SILENT_SENDS: u32 = 3;
+/// Failures in a row to open a connection from which an instance doubts its links.
+const MIN_OPEN_FAILURES: u32 = 2;
+/// Time for which a failure to open a connection is a reason for doubt.
+const FAILURE_MEMORY: Duration = Duration::from_secs(1);
+/// Minimum time between the starts of two rounds of probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum number of upstreams that must be out of reach at once. A single one may have ended.
+const MIN_PROBES: usize = 2;
+/// Time after the end of a cut in which an instance takes back more and more of its requests, so that many that return at
+/// once do not open all their connections at the same moment.
+const RETURN_TIME: Duration = Duration::from_secs(1);
+
+/// A change of an instance's reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReachChange {
+    /// It reaches no upstream any more.
+    CutOff,
+    /// It reaches upstreams again, after this time.
+    Returned {
+        /// How long it reached none.
+        after: Duration,
+    },
+}
+
+/// Whether an instance reaches the upstreams at all.
+///
+/// Designed for an instance whose links to all upstreams are cut while callers and other instances reach it: connections
+/// hang, or are reset and refused, or live on while new ones are refused. Failures of requests alone do not tell whether
+/// the instance is cut off or upstreams have ended. They give reason for a few probes at once, of upstreams that have not
+/// failed if there are any; only if all of these fail, with no sign of any upstream meanwhile, is the instance cut off.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReachState {
+    /// When an upstream last gave a sign of itself.
+    contact_at: Option<ClockTime>,
+    /// When the first attempt since then was sent; `None` if none was.
+    waiting_since: Option<ClockTime>,
+    /// Number of attempts sent since then.
+    waiting_count: u32,
+    /// Failures to open a connection since one was last opened.
+    open_failures: u32,
+    last_open_failure_at: Option<ClockTime>,
+    probed_at: Option<ClockTime>,
+    cut_off_since: Option<ClockTime>,
+    returned_at: Option<ClockTime>,
+}
+
+impl ReachState {
+    /// Records that an attempt begins.
+    pub fn record_send(&mut self, now: ClockTime) {
+        self.waiting_since.get_or_insert(now);
+        self.waiting_count += 1;
+    }
+
+    /// Records that an upstream has sent something. Returns the change, if there is one.
+    pub fn record_contact(&mut self, now: ClockTime) -> Option<ReachChange> {
+        self.contact_at = Some(now);
+        self.waiting_since = None;
+        self.waiting_count = 0;
+        let since = self.cut_off_since.take()?;
+        self.returned_at = Some(now);
+        Some(ReachChange::Returned {
+            after: now.since(since),
+        })
+    }
+
+    /// Records that a connection was opened. Returns the change, if there is one.
+    pub fn record_open(&mut self, now: ClockTime) -> Option<ReachChange> {
+        self.open_failures = 0;
+        self.record_contact(now)
+    }
+
+    /// Records that a connection could not be opened.
+    pub fn record_open_failure(&mut self, now: ClockTime) {
+        self.open_failures += 1;
+        self.last_open_failure_at = Some(now);
+    }
+
+    /// Returns whether probes are due, and records that they begin.
+    pub fn begin_probes(&mut self, now: ClockTime) -> bool {
+        let is_due = self
+            .probed_at
+            .is_none_or(|probed_at| now.since(probed_at) >= PROBE_INTERVAL);
+        let is_needed = self.is_cut_off() || self.is_silent(now) || self.is_open_doubtful(now);
+        if is_due && is_needed {
+            self.probed_at = Some(now);
+        }
+        is_due && is_needed
+    }
+
+    /// Records the outcome of probes that began at `began_at`: how many of `asked` upstreams were reached. Returns the
+    /// change, if there is one.
+    pub fn record_probes(
+        &mut self,
+        now: ClockTime,
+        began_at: ClockTime,
+        asked: usize,
+        reached: usize,
+    ) -> Option<ReachChange> {
+        if reached > 0 {
+            return self.record_open(now);
+        }
+        let has_contact = self.contact_at.is_some_and(|contact| contact >= began_at);
+        if asked < MIN_PROBES || has_contact || self.is_cut_off() {
+            return None;
+        }
+        self.cut_off_since = Some(now);
+        Some(ReachChange::CutOff)
+    }
+
+    /// Returns whether the instance reaches no upstream.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off_since.is_some()
+    }
+
+    /// Returns whether new connections have failed lately, whatever the open ones do.
+    pub fn is_open_doubtful(&self, now: ClockTime) -> bool {
+        let is_recent = self
+            .last_open_failure_at
+            .is_some_and(|failure| now.since(failure) < FAILURE_MEMORY);
+        is_recent && self.open_failures >= MIN_OPEN_FAILURES
+    }
+
+    /// Returns whether a request is to go through another instance. `random` is a number from 0 to 1.
+    pub fn prefers_relay(&self, now: ClockTime, random: f64) -> bool {
+        let is_returning = self.returned_at.is_some_and(|returned_at| {
+            now.since(returned_at).as_secs_f64() < RETURN_TIME.as_secs_f64() * random
+        });
+        self.is_cut_off() || is_returning
+    }
+
+    /// Returns whether attempts wait and no upstream has given a sign of itself for too long.
+    fn is_silent(&self, now: ClockTime) -> bool {
+        let has_waited = self
+            .waiting_since
+            .is_some_and(|since| now.since(since) >= SILENCE);
+        has_waited && self.waiting_count >= MIN_SILENT_SENDS
+    }
+}
--- a/crates/anvilhub-coord/src/gateway/replica_stats.rs
+++ b/crates/anvilhub-coord/src/gateway/replica_stats.rs
@@ -155,6 +155,11 @@
         self.cooldown_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the upstream failed since its last answer.
+    pub fn has_failed(&self) -> bool {
+        self.consecutive_failures > 0
+    }
+
     /// Returns whether the upstream failed repeatedly and has not answered since.
     pub fn is_suspect(&self) -> bool {
         self.consecutive_failures >= COOLDOWN_FAILURES
--- a/crates/anvilhub-coord/tests/lib.rs
+++ b/crates/anvilhub-coord/tests/lib.rs
@@ -40,6 +40,7 @@
 mod owner_health;
 mod pause_detection;
 mod platform_confirmation;
+mod reach_state;
 mod reader_rule;
 mod relay_rule;
 mod remote_cost;
--- a/crates/anvilhub-coord/tests/limit_burst.rs
+++ b/crates/anvilhub-coord/tests/limit_burst.rs
@@ -23,6 +23,7 @@
         peer_address: address,
         relay_address: address,
         is_leaving: false,
+        is_cut_off: false,
     }
 }
 
--- a/crates/anvilhub-coord/tests/member_info.rs
+++ b/crates/anvilhub-coord/tests/member_info.rs
@@ -13,5 +13,6 @@
         peer_address: "127.0.0.1:1".parse().expect("an address"),
         relay_address: "127.0.0.1:2".parse().expect("an address"),
         is_leaving: false,
+        is_cut_off: false,
     }
 }
--- /dev/null
+++ b/crates/anvilhub-coord/tests/reach_state.rs
@@ -0,0 +1,108 @@
+//! Guards against an instance that goes on asking upstreams while it reaches none, and against one that gives its requests
+//! away because upstreams fail.
+
+use std::time::Duration;
+
+use anvilhub_coord::gateway::{ReachChange, ReachState};
+use anvilhub_coord::time::ClockTime;
+
+fn at(ms: u64) -> ClockTime {
+    ClockTime::from_millis(10_000 + ms)
+}
+
+/// A state that has sent three attempts at `at(0)` and heard nothing.
+fn silent_state() -> ReachState {
+    let mut state = ReachState::default();
+    state.record_contact(at(0));
+    for _ in 0..3 {
+        state.record_send(at(0));
+    }
+    state
+}
+
+/// A state that was found cut off at `at(400)`.
+fn cut_off_state() -> ReachState {
+    let mut state = silent_state();
+    assert!(state.begin_probes(at(250)));
+    let change = state.record_probes(at(400), at(250), 4, 0);
+    assert_eq!(change, Some(ReachChange::CutOff));
+    state
+}
+
+#[test]
+fn silence_probed() {
+    let mut state = silent_state();
+    assert!(!state.begin_probes(at(249)));
+    assert!(state.begin_probes(at(250)));
+    assert!(!state.begin_probes(at(400)), "one round at a time");
+}
+
+#[test]
+fn few_attempts_not_probed() {
+    let mut state = ReachState::default();
+    state.record_send(at(0));
+    state.record_send(at(10));
+    assert!(!state.begin_probes(at(5_000)));
+}
+
+/// Upstreams that are all silent, refuse or have ended, but for one.
+#[test]
+fn one_reached_upstream_suffices() {
+    let mut state = silent_state();
+    assert!(state.begin_probes(at(250)));
+    assert_eq!(state.record_probes(at(400), at(250), 4, 1), None);
+    assert!(!state.is_cut_off());
+}
+
+#[test]
+fn answer_during_probes_counts() {
+    let mut state = silent_state();
+    assert!(state.begin_probes(at(250)));
+    state.record_contact(at(300));
+    assert_eq!(state.record_probes(at(400), at(250), 4, 0), None);
+}
+
+#[test]
+fn lone_upstream_decides_nothing() {
+    let mut state = silent_state();
+    assert!(state.begin_probes(at(250)));
+    assert_eq!(state.record_probes(at(400), at(250), 1, 0), None);
+}
+
+#[test]
+fn failed_opens_probed() {
+    let mut state = ReachState::default();
+    state.record_open_failure(at(0));
+    assert!(!state.begin_probes(at(0)));
+    state.record_open_failure(at(10));
+    assert!(state.begin_probes(at(10)));
+    assert!(!state.begin_probes(at(2_000)), "the failures are too old");
+}
+
+/// Old connections live on while new ones are refused.
+#[test]
+fn answers_hide_no_failed_opens() {
+    let mut state = ReachState::default();
+    for ms in [0, 10] {
+        state.record_open_failure(at(ms));
+        state.record_contact(at(ms + 5));
+    }
+    assert!(state.is_open_doubtful(at(20)));
+    state.record_open(at(30));
+    assert!(!state.is_open_doubtful(at(40)));
+}
+
+/// A cut is probed on, and ends with the first upstream that is reached. Requests return one after the other.
+#[test]
+fn return_is_gradual() {
+    let mut state = cut_off_state();
+    assert!(state.prefers_relay(at(400), 0.5));
+    assert!(state.begin_probes(at(650)));
+    let change = state.record_probes(at(700), at(650), 4, 1);
+    let after = Duration::from_millis(300);
+    assert_eq!(change, Some(ReachChange::Returned { after }));
+    assert!(state.prefers_relay(at(800), 0.5));
+    assert!(!state.prefers_relay(at(800), 0.05));
+    assert!(!state.prefers_relay(at(1_300), 0.5));
+    assert!(!state.prefers_relay(at(1_700), 1.0));
+}
--- a/crates/anvilhub-coord/tests/relay_rule.rs
+++ b/crates/anvilhub-coord/tests/relay_rule.rs
@@ -124,3 +124,24 @@
     let own = member_info("o", "d-2", 0.12);
     assert_eq!(choose_with_shares(&own, &members, &shares, 0.1), Some("b"));
 }
+
+/// An instance that reaches no upstream takes any other one that does, whatever its size.
+#[test]
+fn helper_reaches_upstreams() {
+    let small = member_info("small", "domain-a", 0.1);
+    let cut_off = MemberInfo {
+        is_cut_off: true,
+        ..member_info("cut-off", "domain-a", 1.0)
+    };
+    let leaving = MemberInfo {
+        is_leaving: true,
+        ..member_info("leaving", "domain-b", 1.0)
+    };
+    for random in [0.0, 0.5, 1.0] {
+        let members = [&cut_off, &small, &leaving].into_iter();
+        let helper = RelayRule::default().choose_helper(members, random);
+        assert_eq!(helper, Some(&small));
+    }
+    let helper = RelayRule::default().choose_helper([&cut_off].into_iter(), 0.5);
+    assert_eq!(helper, None);
+}
--- a/crates/anvilhub-coord/tests/warmup_fleet.rs
+++ b/crates/anvilhub-coord/tests/warmup_fleet.rs
@@ -65,6 +65,7 @@
         peer_address: address,
         relay_address: address,
         is_leaving: false,
+        is_cut_off: false,
     }
 }
 
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -62,6 +62,7 @@
             peer_address: fleet.peer_address,
             relay_address: fleet.relay_address,
             is_leaving: false,
+            is_cut_off: false,
         };
         Arc::new(Self {
             clients: PeerClients::new(fleet.call_timeout),
@@ -95,6 +96,11 @@
         self.state_changed.notify_waiters();
     }
 
+    /// Announces to the other instances whether this one reaches the upstreams.
+    pub(crate) fn set_own_cut_off(&self, is_cut_off: bool) {
+        self.table.with(|table| table.set_own_cut_off(is_cut_off));
+    }
+
     /// Records member information that another instance passed on.
     pub(crate) fn record_gossip(&self, members: Vec<MemberGossip>) {
         let now = self.clock.now();
@@ -236,6 +242,23 @@
         })
     }
 
+    /// Chooses the instance through which this one serves a request while it reaches no upstream. Only members for which
+    /// `is_allowed` returns true are chosen.
+    pub(crate) fn choose_helper(
+        &self,
+        is_allowed: impl Fn(&MemberInfo) -> bool,
+    ) -> Option<MemberInfo> {
+        let now = self.clock.now();
+        self.table.with(|table| {
+            let members = table
+                .usable_members(now)
+                .filter(|member| is_allowed(member));
+            RelayRule::default()
+                .choose_helper(members, rand::random())
+                .cloned()
+        })
+    }
+
     /// Returns whether a request may be sent to an upstream under the limit that it names and that of its warm-up. An
     /// instance that does not know the others yet has no share of limits.
     pub(crate) fn send_permit(&self, now: ClockTime, process: &UpstreamProcess) -> SendPermit {
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -115,6 +115,7 @@
             Err(outcome) => return outcome,
         };
         let permitted_at = self.gateway.clock.now();
+        self.gateway.reach.record_send();
         let ReadyConnection {
             mut connection,
             checked_at,
@@ -155,6 +156,7 @@
         let now = self.gateway.clock.now();
         let outcome = match answer {
             Ok(Ok((head, body))) => {
+                self.gateway.reach.record_answer();
                 let outcome = self.classify_answer(now, is_reused, head, body);
                 let is_reusable = matches!(
                     outcome,
@@ -300,7 +302,15 @@
             .deadline
             .since(now)
             .min(self.gateway.settings.connect_timeout);
-        let mut connection = self.upstream.open_connection(max_time).await?;
+        let reach = &self.gateway.reach;
+        let mut connection = match self.upstream.open_connection(max_time).await {
+            Ok(connection) => connection,
+            Err(reason) => {
+                reach.record_open_failure();
+                return Err(reason);
+            }
+        };
+        reach.record_open();
         match connection.wait_ready().await {
             true => Ok(ReadyConnection {
                 connection,
--- a/crates/anvilhubd/src/gateway/connection_warmer.rs
+++ b/crates/anvilhubd/src/gateway/connection_warmer.rs
@@ -73,10 +73,16 @@
                 .await;
             let now = gateway.clock.now();
             match result {
-                Ok(connection) => upstream
-                    .idle_connections
-                    .with(|idle_connections| idle_connections.put(now, now, connection)),
-                Err(_) => metrics::counter!("anvilhub_warm_failures_total").increment(1),
+                Ok(connection) => {
+                    gateway.reach.record_open();
+                    upstream
+                        .idle_connections
+                        .with(|idle_connections| idle_connections.put(now, now, connection));
+                }
+                Err(_) => {
+                    gateway.reach.record_open_failure();
+                    metrics::counter!("anvilhub_warm_failures_total").increment(1);
+                }
             }
         });
     }
--- a/crates/anvilhubd/src/gateway/fanout_outcome.rs
+++ b/crates/anvilhubd/src/gateway/fanout_outcome.rs
@@ -17,6 +17,8 @@
     pub(super) records: TopRecords,
     /// Number of hedges and retries.
     pub(super) extra_send_count: u32,
+    /// Whether it ended because this instance reaches no upstream.
+    pub(super) is_unreached: bool,
     /// When enough upstreams may get the request; `None` if the request may have run, or enough of them may get it now.
     pub(super) refusal_wait: Option<RefusalWait>,
 }
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -152,6 +152,7 @@
                 () = self.gateway.stop_deadline.wait(self.gateway.clock) => {
                     self.plan.cutoff.final_cutoff = self.time_waited();
                 }
+                () = self.gateway.reach.wait_cut_off() => return self.finish_cut_off(),
                 () = sleep(pause) => {
                     let lag = self.time_waited().saturating_sub(waited + pause);
                     self.gateway.timer_lag.with(|timer_lag| timer_lag.record(lag));
@@ -532,6 +533,22 @@
         }
     }
 
+    /// Ends the request because this instance reaches no upstream any more.
+    fn finish_cut_off(self) -> FanoutOutcome {
+        let states = self
+            .sub_requests
+            .iter()
+            .map(|sub_request| sub_request.state);
+        let done_count = states
+            .filter(|state| *state == SubRequestState::Done)
+            .count();
+        let is_answered = done_count >= self.plan.cutoff.min_sub_requests;
+        FanoutOutcome {
+            is_unreached: true,
+            ..self.finish(is_answered)
+        }
+    }
+
     fn finish(mut self, is_answered: bool) -> FanoutOutcome {
         let may_have_run = self.guard.close() || self.may_have_run;
         let now = self.gateway.clock.now();
@@ -547,6 +564,7 @@
             single_answer: self.single_answer,
             records: self.records,
             extra_send_count: self.extra_send_count,
+            is_unreached: false,
             sub_requests: self.sub_requests,
         }
     }
--- a/crates/anvilhubd/src/gateway/gateway_core.rs
+++ b/crates/anvilhubd/src/gateway/gateway_core.rs
@@ -22,8 +22,8 @@
 use crate::routes::LockCell;
 
 use super::{
-    DomainDistances, DomainTable, GatewaySettings, HeaderCodec, RouteState, ServiceGroup,
-    ServiceSpillover, ServingTable, StopDeadline, TrackedUpstream, UpstreamTable,
+    DomainDistances, DomainTable, GatewaySettings, HeaderCodec, ReachMonitor, RouteState,
+    ServiceGroup, ServiceSpillover, ServingTable, StopDeadline, TrackedUpstream, UpstreamTable,
 };
 
 /// Minimum of an instance's share of an upstream's connections, whatever the upstream's limit.
@@ -71,6 +71,8 @@
     last_budget_log_us: AtomicU64,
     /// When callers must be answered because this instance stops.
     pub(super) stop_deadline: StopDeadline,
+    /// Whether this instance reaches the upstreams.
+    pub(super) reach: ReachMonitor,
     /// How late timers of this instance fire.
     pub(super) timer_lag: LockCell<TimerLag>,
     /// Wakes requests that wait for the first configuration and the first list of upstreams.
@@ -109,6 +111,7 @@
             has_upstream_list: AtomicBool::new(false),
             last_budget_log_us: AtomicU64::new(0),
             stop_deadline: StopDeadline::default(),
+            reach: ReachMonitor::new(clock),
             timer_lag: LockCell::default(),
             state_changed: Notify::new(),
         })
--- a/crates/anvilhubd/src/gateway/gateway_daemon.rs
+++ b/crates/anvilhubd/src/gateway/gateway_daemon.rs
@@ -22,7 +22,7 @@
 
 use super::{
     ConnectionWarmer, Gateway, GatewayError, GatewayHandler, GatewaySettings, HeaderCodec,
-    ReadyHandler, RelayHandler, Result,
+    ReachMonitor, ReadyHandler, RelayHandler, Result,
 };
 
 /// How often removed upstreams are dropped and missing connections are opened.
@@ -94,6 +94,7 @@
     let (_ready_sender, ready_stop) = watch::channel(false);
     runtime.spawn(async move { ready_server.serve(ready_listener, ready_stop).await });
     runtime.spawn(maintain_upstreams(Arc::clone(&gateway)));
+    runtime.spawn(ReachMonitor::run(Arc::clone(&gateway)));
     let gossip_loop = GossipLoop::new(Arc::clone(&gateway.fleet));
     runtime.spawn(async move { gossip_loop.run().await });
     let relay_server = HttpServer::new(
@@ -163,7 +164,7 @@
             gateway.fleet.crashes.forget_old();
             gateway.ledger.report();
         }
-        if !gateway.is_draining() {
+        if !gateway.is_draining() && !gateway.reach.is_cut_off() {
             warmer.open_missing();
         }
     }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use anvilhub_coord::crash::CrashVerdict;
-use anvilhub_coord::fleet::{DomainShares, MemberInfo};
+use anvilhub_coord::fleet::MemberInfo;
 use anvilhub_coord::gateway::{
-    AnswerDeadline, CapacityClaim, GatherCutoff, HomeRegions, HostName, RetryAdvice, RouteRule,
-    RouteTarget, WeightedService,
+    AnswerDeadline, CapacityClaim, GatherCutoff, HostName, RetryAdvice, RouteRule, RouteTarget,
+    WeightedService,
 };
-use anvilhub_coord::ids::ServiceName;
+use anvilhub_coord::ids::{InstanceId, ServiceName};
+use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -229,39 +230,35 @@
             .typical_latency_and_hedge_delay(rule.latency_target, settings.hedge_quantile);
         request_log.hedge_delay = hedge_delay;
         let request = Arc::new(request);
-        if let (RouteTarget::Gather(gather), None) = (&rule.target, relay_headers) {
-            let version = table.catalog.version;
-            let shares = self.gateway.domain_shares(
-                route_state,
-                version,
-                &gather.shards,
-                &rule.home_regions,
-            );
-            let run = RelayRun {
-                gateway: Arc::clone(&self.gateway),
-                request: Arc::clone(&request),
-                relay_headers: RelayHeaders {
-                    version,
-                    waited: Duration::ZERO,
-                    waited_before,
-                    caller_latency,
-                },
-                arrived_at,
-                ping_interval: rule.latency_target,
-                answer_timeout: time_left,
+        // A relayed request is never relayed again.
+        let relay_run = relay_headers.is_none().then(|| RelayRun {
+            gateway: Arc::clone(&self.gateway),
+            request: Arc::clone(&request),
+            relay_headers: RelayHeaders {
+                version: table.catalog.version,
+                waited: Duration::ZERO,
+                waited_before,
+                caller_latency,
+            },
+            arrived_at,
+            ping_interval: rule.latency_target,
+            answer_timeout: time_left,
+        });
+        if let Some(run) = &relay_run {
+            let relayed = match self.gateway.reach.prefers_relay() {
+                true => self.relay_to_helper(run, rule, request_log).await,
+                false => {
+                    self.relay_to_larger(run, table, route_index, request_log)
+                        .await
+                }
             };
-            if let Some(response) = relay_request(
-                &run,
-                gather.shards.len(),
-                &rule.home_regions,
-                &shares,
-                request_log,
-            )
-            .await
-            {
+            if let Some(response) = relayed {
                 return response;
             }
         }
+        if self.gateway.reach.is_cut_off() {
+            return self.refuse_cut_off(relay_headers, time_left, request_log);
+        }
         let Some((services, max_records)) = target_services(rule, |services| {
             route_state
                 .splitter
@@ -310,9 +307,89 @@
         );
         let outcome = run.run().await;
         request_log.record_outcome(&outcome);
+        if self.is_out_of_reach(rule, &outcome) {
+            if let Some(run) = &relay_run
+                && let Some(response) = self.relay_to_helper(run, rule, request_log).await
+            {
+                return response;
+            }
+            if !outcome.may_have_run && self.gateway.reach.is_cut_off() {
+                return self.refuse_cut_off(relay_headers, time_left, request_log);
+            }
+        }
         self.respond(rule, outcome, time_left, request_log)
     }
 
+    /// Returns whether a request that this instance could not serve may be served through another one: this instance reaches
+    /// no upstream, or opens no connection, and running the request again is allowed if it may have run.
+    fn is_out_of_reach(&self, rule: &RouteRule, outcome: &FanoutOutcome) -> bool {
+        let reach = &self.gateway.reach;
+        let is_unreached =
+            outcome.is_unreached || !outcome.may_have_run && reach.is_open_doubtful();
+        let may_run_again = rule.repeat_policy == RepeatPolicy::Idempotent || !outcome.may_have_run;
+        !outcome.is_answered && outcome.single_answer.is_none() && is_unreached && may_run_again
+    }
+
+    /// Relays a gathered request with many sub-requests to a larger instance. Returns `None` if this instance has to gather
+    /// the answer itself, or the request is not gathered.
+    async fn relay_to_larger(
+        &self,
+        run: &RelayRun,
+        table: &ServingTable,
+        route_index: usize,
+        request_log: &mut RequestLog,
+    ) -> Option<Response<Full<Bytes>>> {
+        let rule = &table.catalog.rules()[route_index];
+        let RouteTarget::Gather(gather) = &rule.target else {
+            return None;
+        };
+        let shares = self.gateway.domain_shares(
+            &table.states[route_index],
+            table.catalog.version,
+            &gather.shards,
+            &rule.home_regions,
+        );
+        let fleet = &self.gateway.fleet;
+        let choose = |tried: &[InstanceId]| {
+            fleet.choose_relay(gather.shards.len(), &shares, |member| {
+                !tried.contains(&member.instance)
+                    && self.gateway.may_relay_to(&rule.home_regions, member)
+            })
+        };
+        relay_request(run, choose, request_log).await
+    }
+
+    /// Relays a request to an instance that reaches the upstreams; returns `None` if none accepts it.
+    async fn relay_to_helper(
+        &self,
+        run: &RelayRun,
+        rule: &RouteRule,
+        request_log: &mut RequestLog,
+    ) -> Option<Response<Full<Bytes>>> {
+        let choose = |tried: &[InstanceId]| {
+            self.gateway.fleet.choose_helper(|member| {
+                !tried.contains(&member.instance)
+                    && self.gateway.may_relay_to(&rule.home_regions, member)
+            })
+        };
+        relay_request(run, choose, request_log).await
+    }
+
+    /// Builds the response to a request that was sent to nobody because this instance reaches no upstream. The caller's
+    /// next attempt arrives at another instance.
+    fn refuse_cut_off(
+        &self,
+        relay_headers: Option<RelayHeaders>,
+        time_left: Duration,
+        request_log: &mut RequestLog,
+    ) -> Response<Full<Bytes>> {
+        request_log.reason = "cut_off";
+        match relay_headers {
+            Some(_) => decline_relay("cut off"),
+            None => not_run_response(QUEUE_DRAIN_TIME, time_left),
+        }
+    }
+
     /// Builds the response to a request from the outcome of its sub-requests, and records the reason for the log.
     fn respond(
         &self,
@@ -440,22 +517,16 @@
     }
 }
 
-/// Relays a request with this many sub-requests to a larger instance; returns `None` if this instance has to gather the
-/// answer itself. `shares` states where the upstreams of the shards are, and `home_regions` which relays may get the request.
+/// Relays a request to the instances that `choose` returns, one after the other; returns `None` if none of them accepts it.
+/// `choose` is passed those that were tried.
 async fn relay_request(
     run: &RelayRun,
-    sub_request_count: usize,
-    home_regions: &HomeRegions,
-    shares: &DomainShares,
+    choose: impl Fn(&[InstanceId]) -> Option<MemberInfo>,
     request_log: &mut RequestLog,
 ) -> Option<Response<Full<Bytes>>> {
-    let fleet = &run.gateway.fleet;
     let mut tried = Vec::new();
     while tried.len() < MAX_TRIED_RELAYS {
-        let may_relay = |member: &MemberInfo| {
-            !tried.contains(&member.instance) && run.gateway.may_relay_to(home_regions, member)
-        };
-        let relay = fleet.choose_relay(sub_request_count, shares, may_relay)?;
+        let relay = choose(&tried)?;
         request_log.relay = relay.instance.to_string();
         let Some(outcome) = run.gateway.run_until_stop(run.relay_to(&relay)).await else {
             request_log.reason = "stopping";
--- a/crates/anvilhubd/src/gateway/relay_handler.rs
+++ b/crates/anvilhubd/src/gateway/relay_handler.rs
@@ -41,6 +41,9 @@
         if self.gateway.is_draining() {
             return decline_relay("draining");
         }
+        if self.gateway.reach.is_cut_off() {
+            return decline_relay("cut off");
+        }
         if self.gateway.ready_table().is_none() {
             return decline_relay("no configuration");
         }
