--- a/crates/anvilhubd/src/gateway/fanout_outcome.rs
+++ b/crates/anvilhubd/src/gateway/fanout_outcome.rs
@@ -19,6 +19,8 @@
     pub(super) extra_send_count: u32,
     /// Whether it ended because this instance reaches no upstream.
     pub(super) is_unreached: bool,
+    /// Number of upstreams that a sub-request may have reached, the maximum over all sub-requests.
+    pub(super) used_attempts: u32,
     /// When enough upstreams may get the request; `None` if the request may have run, or enough of them may get it now.
     pub(super) refusal_wait: Option<RefusalWait>,
 }
--- a/crates/anvilhubd/src/gateway/fanout_plan.rs
+++ b/crates/anvilhubd/src/gateway/fanout_plan.rs
@@ -17,6 +17,8 @@
     pub(super) repeat_policy: RepeatPolicy,
     /// Maximum number of attempts that may reach an upstream, for each sub-request.
     pub(super) max_attempts: u32,
+    /// Whether another instance may continue the request if this one is cut off from the upstreams.
+    pub(super) may_move: bool,
     /// When the request ends without the sub-requests that are still unanswered.
     pub(super) cutoff: GatherCutoff,
     /// Median latency of the route's recent answers, or an estimate while too few are known.
--- a/crates/anvilhubd/src/gateway/fanout_run.rs
+++ b/crates/anvilhubd/src/gateway/fanout_run.rs
@@ -127,6 +127,7 @@
                 }
             }
         }
+        let mut stays = false;
         loop {
             let waited = self.time_waited();
             let states: Vec<SubRequestState> = self
@@ -152,7 +153,11 @@
                 () = self.gateway.stop_deadline.wait(self.gateway.clock) => {
                     self.plan.cutoff.final_cutoff = self.time_waited();
                 }
-                () = self.gateway.reach.wait_cut_off() => return self.finish_cut_off(),
+                () = self.gateway.reach.wait_cut_off(), if !stays => match self.may_leave() {
+                    true => return self.finish_cut_off(),
+                    // The answers may still arrive once the cut is over.
+                    false => stays = true,
+                },
                 () = sleep(pause) => {
                     let lag = self.time_waited().saturating_sub(waited + pause);
                     self.gateway.timer_lag.with(|timer_lag| timer_lag.record(lag));
@@ -533,6 +538,24 @@
         }
     }
 
+    /// Returns whether the request may end here because this instance reaches no upstream any more: nothing was sent, or
+    /// another instance may still send each sub-request as often as the route allows.
+    fn may_leave(&self) -> bool {
+        let is_unsent = !self.may_have_run && !self.guard.has_sent();
+        let is_idempotent = self.plan.repeat_policy == RepeatPolicy::Idempotent;
+        let has_attempts = self.max_send_count() < self.plan.max_attempts;
+        is_unsent || self.plan.may_move && is_idempotent && has_attempts
+    }
+
+    /// Returns the maximum number of attempts of a sub-request.
+    fn max_send_count(&self) -> u32 {
+        let send_counts = self.sub_requests.iter();
+        send_counts
+            .map(|sub_request| sub_request.send_count)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Ends the request because this instance reaches no upstream any more.
     fn finish_cut_off(self) -> FanoutOutcome {
         let states = self
@@ -556,6 +579,10 @@
             true => None,
             false => self.refusal_wait(now),
         };
+        let used_attempts = match may_have_run {
+            true => self.max_send_count(),
+            false => 0,
+        };
         FanoutOutcome {
             is_answered,
             may_have_run,
@@ -565,6 +592,7 @@
             records: self.records,
             extra_send_count: self.extra_send_count,
             is_unreached: false,
+            used_attempts,
             sub_requests: self.sub_requests,
         }
     }
--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -9,7 +9,6 @@
     WeightedService,
 };
 use anvilhub_coord::ids::{InstanceId, ServiceName};
-use anvilhub_coord::sheet::RepeatPolicy;
 use anvilhub_coord::time::ClockTime;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -231,7 +230,7 @@
         request_log.hedge_delay = hedge_delay;
         let request = Arc::new(request);
         // A relayed request is never relayed again.
-        let relay_run = relay_headers.is_none().then(|| RelayRun {
+        let mut relay_run = relay_headers.is_none().then(|| RelayRun {
             gateway: Arc::clone(&self.gateway),
             request: Arc::clone(&request),
             relay_headers: RelayHeaders {
@@ -239,6 +238,7 @@
                 waited: Duration::ZERO,
                 waited_before,
                 caller_latency,
+                used_attempts: 0,
             },
             arrived_at,
             ping_interval: rule.latency_target,
@@ -276,12 +276,14 @@
             return_latency: relay_headers
                 .map_or(Duration::ZERO, |headers| headers.return_latency()),
         };
+        let used_attempts = relay_headers.map_or(0, |headers| headers.used_attempts);
         let plan = FanoutPlan {
             services,
             home_regions: rule.home_regions.clone(),
             max_records,
             repeat_policy: rule.repeat_policy,
-            max_attempts: rule.max_attempts.max(1),
+            max_attempts: rule.max_attempts.saturating_sub(used_attempts).max(1),
+            may_move: relay_headers.is_none(),
             cutoff: GatherCutoff {
                 min_sub_requests: min_sub_requests(rule),
                 target_cutoff: answer_deadline.cutoff().min(time_left),
@@ -307,11 +309,13 @@
         );
         let outcome = run.run().await;
         request_log.record_outcome(&outcome);
-        if self.is_out_of_reach(rule, &outcome) {
-            if let Some(run) = &relay_run
-                && let Some(response) = self.relay_to_helper(run, rule, request_log).await
-            {
-                return response;
+        if self.is_out_of_reach(&outcome) {
+            if let Some(run) = &mut relay_run {
+                run.relay_headers.used_attempts = outcome.used_attempts;
+                let response = self.relay_to_helper(run, rule, request_log).await;
+                if let Some(response) = response {
+                    return withdraw_promise(response, outcome.may_have_run);
+                }
             }
             if !outcome.may_have_run && self.gateway.reach.is_cut_off() {
                 return self.refuse_cut_off(relay_headers, time_left, request_log);
@@ -321,13 +325,12 @@
     }
 
     /// Returns whether a request that this instance could not serve may be served through another one: this instance reaches
-    /// no upstream, or opens no connection, and running the request again is allowed if it may have run.
-    fn is_out_of_reach(&self, rule: &RouteRule, outcome: &FanoutOutcome) -> bool {
+    /// no upstream, or opens no connection and has sent nothing.
+    fn is_out_of_reach(&self, outcome: &FanoutOutcome) -> bool {
         let reach = &self.gateway.reach;
         let is_unreached =
             outcome.is_unreached || !outcome.may_have_run && reach.is_open_doubtful();
-        let may_run_again = rule.repeat_policy == RepeatPolicy::Idempotent || !outcome.may_have_run;
-        !outcome.is_answered && outcome.single_answer.is_none() && is_unreached && may_run_again
+        !outcome.is_answered && outcome.single_answer.is_none() && is_unreached
     }
 
     /// Relays a gathered request with many sub-requests to a larger instance. Returns `None` if this instance has to gather
@@ -559,6 +562,25 @@
     None
 }
 
+/// Returns the response of a helper, or a failure that promises nothing if the helper states that the request has not run
+/// and it may have run before.
+fn withdraw_promise(response: Response<Full<Bytes>>, may_have_run: bool) -> Response<Full<Bytes>> {
+    let is_promise = matches!(
+        response.status(),
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    match may_have_run && is_promise {
+        true => error_response(
+            StatusCode::BAD_GATEWAY,
+            "no usable answer; the request may have run",
+        ),
+        false => response,
+    }
+}
+
 /// Builds a response that passes on an answer without its hop-by-hop headers.
 fn forwarded_response(
     status: StatusCode,
--- a/crates/anvilhubd/src/gateway/relay_headers.rs
+++ b/crates/anvilhubd/src/gateway/relay_headers.rs
@@ -11,6 +11,8 @@
 const WAITED_BEFORE: HeaderName = HeaderName::from_static("x-relay-waited-before-us");
 /// Network latency to reserve between the instance that relayed the request and the caller, in microseconds.
 const CALLER_LATENCY: HeaderName = HeaderName::from_static("x-relay-caller-way-us");
+/// Number of upstreams that each sub-request may have reached already; absent if none.
+const USED_ATTEMPTS: HeaderName = HeaderName::from_static("x-relay-used-attempts");
 /// Present in the answer of a relay that declined the request: nothing was sent to any upstream. Holds the reason.
 const DECLINED: HeaderName = HeaderName::from_static("x-relay-declined");
 
@@ -29,6 +31,8 @@
     pub(super) waited_before: Duration,
     /// Network latency to reserve between the instance that relayed the request and the caller.
     pub(super) caller_latency: Duration,
+    /// Number of upstreams that each sub-request may have reached before it was relayed.
+    pub(super) used_attempts: u32,
 }
 
 impl RelayHeaders {
@@ -38,6 +42,9 @@
         headers.insert(WAITED, micros_value(self.waited));
         headers.insert(WAITED_BEFORE, micros_value(self.waited_before));
         headers.insert(CALLER_LATENCY, micros_value(self.caller_latency));
+        if self.used_attempts > 0 {
+            headers.insert(USED_ATTEMPTS, HeaderValue::from(self.used_attempts));
+        }
     }
 
     /// Returns the expected latency of the answer on its way to the instance that relayed the request: about that of
@@ -52,11 +59,13 @@
         let (version, waited) = (take_number(VERSION), take_number(WAITED));
         let (waited_before, caller_latency) =
             (take_number(WAITED_BEFORE), take_number(CALLER_LATENCY));
+        let used_attempts = take_number(USED_ATTEMPTS).unwrap_or_default();
         Some(Self {
             version: SheetVersion(version?),
             waited: Duration::from_micros(waited?),
             waited_before: Duration::from_micros(waited_before?),
             caller_latency: Duration::from_micros(caller_latency?),
+            used_attempts: u32::try_from(used_attempts).unwrap_or(u32::MAX),
         })
     }
 
--- a/crates/anvilhubd/src/gateway/run_guard.rs
+++ b/crates/anvilhubd/src/gateway/run_guard.rs
@@ -44,6 +44,11 @@
             .retain(|attempt| !Arc::ptr_eq(&attempt.gate, gate));
     }
 
+    /// Returns whether an attempt whose outcome is not known has sent the request.
+    pub(super) fn has_sent(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.gate.is_passed())
+    }
+
     /// Ends the attempts that have not sent the request. Returns whether one that has sent it is left, whose outcome is
     /// not known.
     pub(super) fn close(&mut self) -> bool {
--- a/crates/anvilhubd/src/gateway/send_gate.rs
+++ b/crates/anvilhubd/src/gateway/send_gate.rs
@@ -35,6 +35,11 @@
         })
     }
 
+    /// Returns whether the request may have been sent.
+    pub(super) fn is_passed(&self) -> bool {
+        self.state.with(|state| *state == GateState::Passed)
+    }
+
     /// Closes the gate. Returns whether the request was not sent and will not be.
     pub(super) fn close(&self) -> bool {
         let is_unsent = self.state.with(|state| match state {
