Platform: an answer of the store without end takes no memory and no thread

Reported by other operators of such systems: bytes without end in a head or body took all memory of the machine that read them. On answers of upstreams that was bounded already (endless_answers.rs). On answers of the store it was not: the body was read whole, and no timeout ended the call, so that the instance never read the store again.

Change: bodies of the store and of the platform of the product's own interface are read up to a named length and until the deadline of the call. Heads are bounded by the library to 8 kB; answers between instances by MAX_MESSAGE_BYTES.

Evidence: endless_store_bounded failed before (no second call to the store within the test's wait) and passes now. The other report, an answer with status 000, does not happen here: odd_status_rejected passes before and after, as the HTTP library refuses a status outside 100 to 999. It is kept as a check.

--- a/crates/anvilhubd/src/controllers/platform_client.rs
+++ b/crates/anvilhubd/src/controllers/platform_client.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvilhub_coord::border::platform::{ConfigValue, InstanceList};
 use anvilhub_coord::ids::PlatformRevision;
@@ -8,9 +8,14 @@
 use oxhttp::model::{Body, Request, StatusCode};
 use serde::de::DeserializeOwned;
 
+use crate::read_bounded;
+
 /// Maximum time of a call in addition to the time for which its watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum length of an answer's body in bytes. A sheet has 1 MB at most, and a list of 15,000 instances about 3 MB.
+const MAX_BODY_LEN: usize = 16 * 1024 * 1024;
+
 /// HTTP client of the platform. Every call, including a watch that waits, counts towards the platform's call limit.
 pub(crate) struct PlatformClient {
     address: SocketAddr,
@@ -64,7 +69,9 @@
             .unwrap_or_default();
         let uri = format!("http://{}/{path}{query}", self.address);
         let request = Request::builder().uri(&uri).body(Body::empty())?;
-        let client = Client::new().with_global_timeout(max_wait + CALL_TIMEOUT);
+        let timeout = max_wait + CALL_TIMEOUT;
+        let deadline = Instant::now() + timeout;
+        let client = Client::new().with_global_timeout(timeout);
         let response = client
             .request(request)
             .wrap_err_with(|| format!("cannot read {uri}"))?;
@@ -76,9 +83,7 @@
             status == StatusCode::OK,
             "{uri} answered {status}, not 200, 204 or 304"
         );
-        let body = response
-            .into_body()
-            .to_vec()
+        let body = read_bounded(response.into_body(), MAX_BODY_LEN, deadline)
             .wrap_err_with(|| format!("cannot read {uri}"))?;
         serde_json::from_slice(&body)
             .map(Some)
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon `anvilhubd`, which performs the I/O for the decisions that `anvilhub-coord` makes.
 
 mod admission;
+mod bounded_body;
 mod caller;
 mod controllers;
 mod daemon;
@@ -23,6 +24,7 @@
 mod settings_error;
 mod tickets;
 
+pub use bounded_body::read_bounded;
 pub use daemon::run;
 pub use daemon_command::{DaemonCommand, EXIT_FAILURE, EXIT_SETTINGS, EXIT_USAGE};
 pub use daemon_settings::DaemonSettings;
