Fan-out: a query that crashes the upstreams that run it is no longer sent

Its sub-requests have a fingerprint of what upstreams learn (service, key, query), so that the owner of a shard knows it too. Crashes and completions are recorded at the attempts and at requests with tickets, and are passed on with the state that instances exchange. A query that is blamed is refused with 503, outcome not_run, code crashes_upstreams; from the second crash in a row it is neither retried nor hedged.

--- a/crates/anvilhub-coord/src/configuration/exchange_message.rs
+++ b/crates/anvilhub-coord/src/configuration/exchange_message.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use crate::crash::CrashNote;
 use crate::ids::UpstreamId;
 use crate::sheet::SheetStamp;
 
@@ -24,4 +25,7 @@
     /// Upstreams that announced directly to the sender that they are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub draining: Vec<UpstreamId>,
+    /// Requests that crashed upstreams, as far as the sender knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashNote>,
 }
--- a/crates/anvilhub-coord/src/crash/crash_note.rs
+++ b/crates/anvilhub-coord/src/crash/crash_note.rs
@@ -3,7 +3,7 @@
 use crate::ids::{CrashId, RequestFingerprint};
 
 /// What an instance passes on to others about a request that crashed upstreams.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNote {
     /// The request. Neither its path nor its caller or body can be read from it.
     pub fingerprint: RequestFingerprint,
--- a/crates/anvilhub-coord/tests/platform_confirmation.rs
+++ b/crates/anvilhub-coord/tests/platform_confirmation.rs
@@ -45,6 +45,7 @@
         accepted: None,
         candidate: None,
         draining: Vec::new(),
+        crashes: Vec::new(),
     };
     let sent_at = Some(at(0));
     acceptor.handle(at(1), SheetInput::PeerMessage { message, sent_at });
@@ -109,6 +110,7 @@
         accepted: Some(accepted),
         candidate: None,
         draining: Vec::new(),
+        crashes: Vec::new(),
     };
     SheetInput::PeerMessage { message, sent_at }
 }
--- a/crates/anvilhubd/src/fleet/crash_state.rs
+++ b/crates/anvilhubd/src/crash_state.rs
@@ -25,7 +25,7 @@
 }
 
 impl CrashState {
-    pub(super) fn new(clock: DaemonClock) -> Self {
+    pub(crate) fn new(clock: DaemonClock) -> Self {
         Self {
             clock,
             ledger: LockCell::default(),
@@ -73,7 +73,7 @@
     }
 
     /// Records what another instance passed on.
-    pub(super) fn record_notes(&self, notes: &[CrashNote]) {
+    pub(crate) fn record_notes(&self, notes: &[CrashNote]) {
         let now = self.clock.now();
         for note in notes {
             let fingerprint = &note.fingerprint;
@@ -90,7 +90,7 @@
     }
 
     /// Returns what to pass on to another instance.
-    pub(super) fn collect_notes(&self) -> Vec<CrashNote> {
+    pub(crate) fn collect_notes(&self) -> Vec<CrashNote> {
         let now = self.clock.now();
         self.ledger.with(|ledger| ledger.notes(now))
     }
@@ -107,12 +107,17 @@
     }
 
     /// Returns how often others should have heard of a crash without delay.
-    pub(super) fn urgent_count(&self) -> u64 {
+    pub(crate) fn urgent_count(&self) -> u64 {
         self.urgent_count.load(Ordering::Acquire)
     }
 
+    /// Returns the number of crashes in a row that speak against a request.
+    pub(crate) fn crash_count(&self, fingerprint: &RequestFingerprint) -> usize {
+        self.ledger.with(|ledger| ledger.crash_count(fingerprint))
+    }
+
     /// Waits until others should hear of a crash without delay.
-    pub(super) async fn wait_urgent(&self) {
+    pub(crate) async fn wait_urgent(&self) {
         self.urgent.notified().await;
     }
 
--- a/crates/anvilhubd/src/entry_context.rs
+++ b/crates/anvilhubd/src/entry_context.rs
@@ -17,6 +17,7 @@
 
 use crate::DaemonSettings;
 use crate::controllers::ConfigState;
+use crate::crash_state::CrashState;
 use crate::daemon_clock::DaemonClock;
 use crate::fanout::{OwnerTable, SubRequestIds};
 use crate::instance_lifecycle::{LifecycleStage, StageCell};
@@ -48,6 +49,8 @@
     /// Whether the owners of shards answer.
     pub(crate) owners: OwnerTable,
     pub(crate) sub_request_ids: SubRequestIds,
+    /// The requests that upstreams crashed under.
+    pub(crate) crashes: CrashState,
     /// Limits the cancellations in flight.
     pub(crate) cancel_permits: Semaphore,
     members: Mutex<MemberTable>,
@@ -87,6 +90,7 @@
             route_store: RouteStore::new(clock),
             owners: OwnerTable::default(),
             sub_request_ids,
+            crashes: CrashState::new(clock),
             cancel_permits: Semaphore::new(MAX_CONCURRENT_CANCELLATIONS),
             requests_in_flight: AtomicUsize::new(0),
         })
@@ -156,14 +160,20 @@
         let leaving_upstreams = routes.map_or_else(Vec::new, |routes| {
             leaving_signals::directly_announced_upstreams(&routes)
         });
-        self.configuration
-            .exchange_message(self.is_draining(), leaving_upstreams)
+        self.crashes.forget_old();
+        ExchangeMessage {
+            crashes: self.crashes.collect_notes(),
+            ..self
+                .configuration
+                .exchange_message(self.is_draining(), leaving_upstreams)
+        }
     }
 
     /// Records the state that a peer reported, in answer to an exchange that was sent at `sent_at`, or in an
     /// exchange that the peer started when `sent_at` is `None`.
     pub(crate) fn record_peer_message(&self, message: ExchangeMessage, sent_at: Option<ClockTime>) {
         let is_draining = message.stage == PeerStage::Draining;
+        self.crashes.record_notes(&message.crashes);
         if let Some(routes) = self.route_store.table() {
             leaving_signals::apply_peer_report(&routes, &message.draining, self.clock.now());
         }
--- a/crates/anvilhubd/src/fanout/batch_run.rs
+++ b/crates/anvilhubd/src/fanout/batch_run.rs
@@ -9,7 +9,10 @@
 use crate::entry_context::EntryContext;
 use crate::peer::{BatchAnswer, BatchItem, BatchMessage, BatchOutcome};
 
-use super::{FanoutRequest, SubRequestOrigin, SubRequestPlan, SubRequestRun, batch_deadline};
+use super::{
+    FanoutRequest, SubRequestOrigin, SubRequestPlan, SubRequestRun, batch_deadline,
+    fingerprint_query,
+};
 
 /// Runs the sub-requests that another instance sent because this one owns their shards.
 ///
@@ -54,6 +57,11 @@
         Duration::from_millis(item.request.deadline_ms).min(context.settings.max_deadline);
     let request = FanoutRequest {
         request_id: item.request.request_id.clone(),
+        fingerprint: fingerprint_query(
+            &item.request.service,
+            item.request.key,
+            &item.request.query,
+        ),
         urgency: item.urgency.max(service.spec.urgency),
         is_idempotent: item.request.idempotent,
         key: item.request.key,
--- a/crates/anvilhubd/src/fanout/fanout_request.rs
+++ b/crates/anvilhubd/src/fanout/fanout_request.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use anvilhub_coord::ids::RequestId;
+use anvilhub_coord::ids::{RequestFingerprint, RequestId};
 use anvilhub_coord::sheet::UrgencyClass;
 use anvilhub_coord::time::ClockTime;
 
@@ -10,6 +10,8 @@
 pub(crate) struct FanoutRequest {
     /// Identifier for log lines.
     pub(crate) request_id: RequestId,
+    /// What makes two requests the same, whichever instance sends their sub-requests.
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) service: Arc<ServiceRoute>,
     pub(crate) urgency: UrgencyClass,
     pub(crate) is_idempotent: bool,
--- a/crates/anvilhubd/src/fanout/fanout_runner.rs
+++ b/crates/anvilhubd/src/fanout/fanout_runner.rs
@@ -9,7 +9,7 @@
 use crate::filters::{EntryRequest, RequestError, Result};
 use crate::routes::ServiceRoute;
 
-use super::{FanoutRequest, GatheredRequest, RequestRun, answer_deadline};
+use super::{FanoutRequest, GatheredRequest, RequestRun, answer_deadline, fingerprint_query};
 
 /// Admits requests, runs their sub-requests, and builds their answers.
 pub(crate) struct FanoutRunner {
@@ -36,6 +36,7 @@
                 service: name.clone(),
             })?;
         let fanout_request = fanout_request(request, service);
+        self.check_crashes(&fanout_request)?;
         let _permit = self.admit(&fanout_request).await?;
         let run = RequestRun::new(
             Arc::clone(&self.context),
@@ -47,6 +48,18 @@
         Ok(answer)
     }
 
+    /// Refuses a request that crashes the upstreams that run it.
+    fn check_crashes(&self, request: &FanoutRequest) -> Result<()> {
+        let verdict = self.context.crashes.verdict(&request.fingerprint);
+        if !verdict.is_blamed() {
+            return Ok(());
+        }
+        counter!("anvilhub_blamed_refusals_total").increment(1);
+        Err(RequestError::CrashesUpstreams {
+            fingerprint: request.fingerprint,
+        })
+    }
+
     async fn admit(&self, request: &FanoutRequest) -> Result<AdmissionPermit> {
         let gate = &request.service.gate;
         let admission = gate.admit(request.urgency, request.deadline).await;
@@ -101,6 +114,7 @@
     let spec = &service.spec;
     FanoutRequest {
         request_id: request.query.request_id.clone(),
+        fingerprint: fingerprint_query(&spec.name, request.query.key, &request.query.query),
         service: Arc::clone(service),
         urgency: request.urgency(spec),
         is_idempotent: request.is_idempotent(spec),
--- a/crates/anvilhubd/src/fanout/mod.rs
+++ b/crates/anvilhubd/src/fanout/mod.rs
@@ -6,6 +6,7 @@
 mod fanout_runner;
 mod owner_ping;
 mod owner_table;
+mod query_fingerprint;
 mod request_run;
 mod route_report;
 mod sub_request_attempt;
@@ -19,6 +20,7 @@
 pub(crate) use batch_run::run_batch;
 pub(crate) use fanout_runner::FanoutRunner;
 pub(crate) use owner_table::OwnerTable;
+pub(crate) use query_fingerprint::fingerprint_query;
 pub(crate) use route_report::{explain_route, upstream_states};
 pub(crate) use sub_request_ids::SubRequestIds;
 
--- a/crates/anvilhubd/src/fanout/sub_request_attempt.rs
+++ b/crates/anvilhubd/src/fanout/sub_request_attempt.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::entry_context::EntryContext;
-use crate::pool::{ConnectionLease, PoolError};
+use crate::pool::{ConnectionLease, PoolError, has_ended};
 use crate::routes::{SlotGuard, UpstreamRoute};
 
 use super::{SubRequestPlan, time_left_after_hop};
@@ -141,11 +141,22 @@
                 return self.record_cancelled(started_at);
             }
         };
-        self.finish(
-            sender,
-            started_at,
-            result.unwrap_or(Err(PoolError::Timeout { address })),
-        );
+        let result = result.unwrap_or(Err(PoolError::Timeout { address }));
+        self.record_crash(now, &result).await;
+        self.finish(sender, started_at, result);
+    }
+
+    /// Records whether the upstream crashed under a sub-request sent at `sent_at`, or ran it to its end.
+    async fn record_crash(&self, sent_at: ClockTime, result: &Result<SubAnswer, PoolError>) {
+        let crashes = &self.context.crashes;
+        let fingerprint = self.plan.request.fingerprint;
+        match result {
+            Ok(_) => crashes.record_completion(fingerprint),
+            Err(PoolError::Broken { address, .. }) if has_ended(*address).await => {
+                crashes.record_crash(fingerprint, &self.upstream.spec.id, sent_at);
+            }
+            Err(_) => {}
+        }
     }
 
     /// Asks the upstream on another connection to stop. Best effort: the number of concurrent cancellations is
--- a/crates/anvilhubd/src/fanout/sub_request_run.rs
+++ b/crates/anvilhubd/src/fanout/sub_request_run.rs
@@ -21,6 +21,9 @@
 
 use super::{AttemptResult, SubRequestAttempt, SubRequestOrigin, SubRequestPlan};
 
+/// Crashes in a row from which a request is neither retried nor hedged. One crash may have another cause.
+const SUSPECT_CRASHES: usize = 2;
+
 /// Outcome of a sub-request after all its attempts.
 pub(crate) struct SubRequestOutcome {
     pub(crate) result: Result<SubAnswer, MissingReason>,
@@ -98,6 +101,9 @@
         // Fails at once when no replica is usable.
         self.choose_replica(None)?;
         let slot = self.wait_for_slot().await?;
+        if self.is_blamed() {
+            return Err(self.missing_reason);
+        }
         let now = self.context.clock.now();
         let budget = &self.plan.request.service.budget;
         budget.with(|budget| self.origin.earn_budget(budget, now));
@@ -169,7 +175,9 @@
     async fn retry(&mut self) -> Result<(), MissingReason> {
         let now = self.context.clock.now();
         let kind = AttemptKind::Retry;
-        if self.rule.decide(now, kind, &self.attempt_states) != AttemptVerdict::Allowed {
+        if self.rule.decide(now, kind, &self.attempt_states) != AttemptVerdict::Allowed
+            || self.is_suspect()
+        {
             return Err(self.missing_reason);
         }
         self.choose_replica(Some(kind))?;
@@ -195,7 +203,9 @@
         let kind = AttemptKind::Hedge;
         // A hedge that the retry budget does not allow now is tried again after the same delay.
         self.hedge_due_at = self.plan.shard.hedge_delay().map(|delay| now + delay);
-        if self.rule.decide(now, kind, &self.attempt_states) != AttemptVerdict::Allowed {
+        if self.rule.decide(now, kind, &self.attempt_states) != AttemptVerdict::Allowed
+            || self.is_suspect()
+        {
             return;
         }
         let Ok(choice) = self.choose_replica(Some(kind)) else {
@@ -211,6 +221,18 @@
         }
     }
 
+    /// Returns whether the request crashes the upstreams that run it, and must not be sent.
+    fn is_blamed(&self) -> bool {
+        let crashes = &self.context.crashes;
+        crashes.verdict(&self.plan.request.fingerprint).is_blamed()
+    }
+
+    /// Returns whether the request has crashed upstreams repeatedly, so that one upstream at a time is enough.
+    fn is_suspect(&self) -> bool {
+        let crashes = &self.context.crashes;
+        crashes.crash_count(&self.plan.request.fingerprint) >= SUSPECT_CRASHES
+    }
+
     /// Returns whether a hedge needs no slot of its own. The share of an instance that does not own the shard may
     /// be a single slot, which the late attempt occupies.
     fn may_exceed_share(&self) -> bool {
--- a/crates/anvilhubd/src/filters/request_error.rs
+++ b/crates/anvilhubd/src/filters/request_error.rs
@@ -1,6 +1,6 @@
 use anvilhub_coord::admission::RefusalReason;
 use anvilhub_coord::border::query::{ErrorEntry, QueryAnswer, QueryOutcome, TicketEntry};
-use anvilhub_coord::ids::{ByteSize, CallerName, RequestId, ServiceName};
+use anvilhub_coord::ids::{ByteSize, CallerName, RequestFingerprint, RequestId, ServiceName};
 use anvilhub_coord::ticket::TicketRefusal;
 use derive_more::{Display, Error};
 use hyper::StatusCode;
@@ -46,6 +46,9 @@
         reason: RefusalReason,
         wait_ms: u64,
     },
+    /// Upstreams crash when they run the request.
+    #[display("upstreams crash when they run this request (fingerprint {fingerprint})")]
+    CrashesUpstreams { fingerprint: RequestFingerprint },
     /// A non-idempotent request must name the key that it touches.
     #[display("a non-idempotent request to service `{service}` names no key")]
     KeyMissing { service: ServiceName },
@@ -76,9 +79,10 @@
             Self::SlowBody { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::CallerNotServed { .. } => StatusCode::FORBIDDEN,
             Self::DeadlineExpired { .. } => StatusCode::GATEWAY_TIMEOUT,
-            Self::NoMemory | Self::NotReady | Self::TicketNotIssued { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoMemory
+            | Self::NotReady
+            | Self::CrashesUpstreams { .. }
+            | Self::TicketNotIssued { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TicketRequired { .. } => StatusCode::PRECONDITION_REQUIRED,
             Self::TicketRefused { .. } => StatusCode::CONFLICT,
             Self::NotAdmitted { reason, .. } => match reason {
@@ -107,6 +111,7 @@
                 RefusalReason::QueueFull => "queue_full",
                 RefusalReason::Shed => "shed",
             },
+            Self::CrashesUpstreams { .. } => "crashes_upstreams",
             Self::KeyMissing { .. } => "key_missing",
             Self::TicketRequired { .. } => "ticket_required",
             Self::BadTicket { .. } => "bad_ticket",
@@ -156,6 +161,9 @@
                     "wait as `Retry-After` says, or send the request with a higher urgency"
                 }
             },
+            Self::CrashesUpstreams { .. } => {
+                "do not repeat it; have the service mended, it is tried again after ten minutes"
+            }
             Self::KeyMissing { .. } => "add the field `key`",
             Self::TicketRequired { .. } => "send the request again with the ticket of this answer",
             Self::TicketNotIssued { .. } => "send the request to another instance",
--- a/crates/anvilhubd/src/fleet/fleet_state.rs
+++ b/crates/anvilhubd/src/fleet/fleet_state.rs
@@ -16,14 +16,15 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use crate::crash_state::CrashState;
 use crate::daemon_clock::DaemonClock;
 use crate::gateway::GatewaySettings;
 use crate::peer::{PeerClients, PeerError};
 use crate::routes::LockCell;
 
 use super::{
-    CrashState, FeedState, FleetApiClient, FleetSettings, FollowAnswer, FollowCall, LimitState,
-    ReaderUpdate, WarmupState,
+    FeedState, FleetApiClient, FleetSettings, FollowAnswer, FollowCall, LimitState, ReaderUpdate,
+    WarmupState,
 };
 
 /// What this instance knows about the other members and the platform's values. Shared by the threads and calls that
--- a/crates/anvilhubd/src/fleet/mod.rs
+++ b/crates/anvilhubd/src/fleet/mod.rs
@@ -1,7 +1,6 @@
 //! Cooperation of the instances that run the gateway. They find each other through seeds, and one instance of each
 //! failure domain reads the platform for the others.
 
-mod crash_state;
 mod exchange_answer;
 mod feed_error;
 mod feed_state;
@@ -29,7 +28,6 @@
 pub(crate) use fleet_state::FleetState;
 pub(crate) use gossip_loop::GossipLoop;
 
-use crash_state::CrashState;
 use exchange_answer::ExchangeAnswer;
 use feed_state::FeedState;
 use fleet_api::{FleetApiClient, FleetApiServer};
--- a/crates/anvilhubd/src/gateway/attempt_run.rs
+++ b/crates/anvilhubd/src/gateway/attempt_run.rs
@@ -12,9 +12,8 @@
 use metrics::counter;
 use tokio::time::timeout;
 
-use crate::pool::{PoolError, UpstreamConnection};
+use crate::pool::{PoolError, UpstreamConnection, has_ended};
 
-use super::crash_probe::has_ended;
 use super::{
     AttemptGuard, AttemptOutcome, ConnectionGrant, ForwardedRequest, Gateway, RemoteMeter,
     RouteState, SendGate, SendMetadata, TrackedUpstream, UpstreamAnswer, wait_cold,
--- a/crates/anvilhubd/src/gateway/mod.rs
+++ b/crates/anvilhubd/src/gateway/mod.rs
@@ -13,7 +13,6 @@
 mod cold_wait;
 mod connection_queue;
 mod connection_warmer;
-mod crash_probe;
 mod domain_distances;
 mod domain_state;
 mod domain_table;
--- a/crates/anvilhubd/src/lib.rs
+++ b/crates/anvilhubd/src/lib.rs
@@ -4,6 +4,7 @@
 mod bounded_body;
 mod caller;
 mod controllers;
+mod crash_state;
 mod daemon;
 mod daemon_clock;
 mod daemon_command;
--- a/crates/anvilhubd/src/gateway/crash_probe.rs
+++ b/crates/anvilhubd/src/pool/crash_probe.rs
@@ -10,7 +10,7 @@
 
 /// Returns whether no process listens at `address`, as after a crash. A connection that broke alone shows no crash: networks
 /// reset connections, too.
-pub(super) async fn has_ended(address: SocketAddr) -> bool {
+pub(crate) async fn has_ended(address: SocketAddr) -> bool {
     let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(address));
     let Ok(Err(error)) = connecting.await else {
         return false;
--- a/crates/anvilhubd/src/tickets/ticket_executor.rs
+++ b/crates/anvilhubd/src/tickets/ticket_executor.rs
@@ -2,7 +2,7 @@
 
 use anvilhub_coord::border::query::{CoverageEntry, QueryAnswer, QueryOutcome};
 use anvilhub_coord::border::upstream::{SubAnswer, SubRequest};
-use anvilhub_coord::ids::RequestId;
+use anvilhub_coord::ids::{RequestFingerprint, RequestId};
 use anvilhub_coord::keyspace::KeyRange;
 use anvilhub_coord::routing::{AttemptKind, PickError, ReplicaCandidate, ReplicaPicker};
 use anvilhub_coord::sheet::RepeatPolicy;
@@ -14,8 +14,9 @@
 use tokio::time::timeout;
 
 use crate::entry_context::EntryContext;
+use crate::fanout::fingerprint_query;
 use crate::filters::EntryRequest;
-use crate::pool::{ConnectionLease, PoolError};
+use crate::pool::{ConnectionLease, PoolError, has_ended};
 use crate::routes::{ShardRoute, SlotRefusal, UpstreamRoute};
 
 /// Runs one ticketed request at one upstream.
@@ -96,6 +97,9 @@
         shard: &ShardRoute,
         upstream: &UpstreamRoute,
     ) -> Option<TicketOutcome> {
+        if self.is_blamed() {
+            return Some(TicketOutcome::NotRun(NotRunReason::Refused));
+        }
         // The pool returns a new connection, or one that recently proved to work: after sending on a silent connection,
         // the effect would be unknown.
         let max_wait = self.context.settings.connect_timeout;
@@ -119,6 +123,7 @@
         }
         upstream.state.with(|state| state.view.record_send());
         let result = self.send(lease, run, upstream).await;
+        self.record_crash(upstream, sent_at, &result).await;
         self.record_result(upstream, sent_at, &result);
         self.log_attempt(shard, upstream, &describe_result(&result));
         match run.record_send_result(to_send_result(&result)) {
@@ -131,6 +136,36 @@
         }
     }
 
+    /// Returns whether the request crashes the upstreams that run it, and must not be sent.
+    fn is_blamed(&self) -> bool {
+        self.context
+            .crashes
+            .verdict(&self.fingerprint())
+            .is_blamed()
+    }
+
+    fn fingerprint(&self) -> RequestFingerprint {
+        let query = &self.request.query;
+        fingerprint_query(&query.service, Some(self.key), &query.query)
+    }
+
+    /// Records whether the upstream crashed under the request, or ran it to its end.
+    async fn record_crash(
+        &self,
+        upstream: &UpstreamRoute,
+        sent_at: ClockTime,
+        result: &crate::pool::Result<SubAnswer>,
+    ) {
+        let crashes = &self.context.crashes;
+        match result {
+            Ok(_) => crashes.record_completion(self.fingerprint()),
+            Err(PoolError::Broken { address, .. }) if has_ended(*address).await => {
+                crashes.record_crash(self.fingerprint(), &upstream.spec.id, sent_at);
+            }
+            Err(_) => {}
+        }
+    }
+
     /// Sends the sub-request on the leased connection and checks that its answer covers the key.
     async fn send(
         &self,
--- a/crates/anvilhubd/tests/lib.rs
+++ b/crates/anvilhubd/tests/lib.rs
@@ -3,6 +3,7 @@
 mod admission_refusals;
 mod bounded_log;
 mod caller_input;
+mod crashing_requests;
 mod fixture;
 mod hedged_requests;
 mod leaving_upstreams;
