--- a/crates/anvilhubd/src/gateway/gateway_handler.rs
+++ b/crates/anvilhubd/src/gateway/gateway_handler.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use anvilhub_coord::crash::CrashVerdict;
-use anvilhub_coord::fleet::MemberInfo;
 use anvilhub_coord::gateway::{
     AnswerDeadline, CapacityClaim, GatherCutoff, HostName, RetryAdvice, RouteRule, RouteTarget,
     WeightedService,
 };
-use anvilhub_coord::ids::{InstanceId, ServiceName};
+use anvilhub_coord::ids::ServiceName;
 use anvilhub_coord::time::ClockTime;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,9 +22,10 @@
 
 use super::forwarded_request::{compute_fingerprint, remove_hop_by_hop_headers};
 use super::relay_handler::decline_relay;
+use super::request_relay::withdraw_promise;
 use super::{
     CallerWatch, FanoutOutcome, FanoutPlan, FanoutRun, ForwardedRequest, Gateway, RelayHeaders,
-    RelayOutcome, RelayRun, RequestLog, RequestMetadata, ServingTable, UnreadBody,
+    RelayRun, RequestLog, RequestMetadata, ServingTable, UnreadBody,
 };
 
 /// Maximum time for which a request waits for the first configuration after a start. Two reads of the platform's store
@@ -35,15 +35,13 @@
 const CONFIGURATION_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Expected time until the queue of an upstream has drained. Callers of requests that were not run are told to retry
 /// after it.
-const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(60);
-/// Maximum number of relays that are tried for a request. Each that cannot be reached costs a part of the latency target.
-const MAX_TRIED_RELAYS: usize = 3;
+pub(super) const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(60);
 /// Time left that is assumed for a caller that states none, until its route and the route's timeout are known.
 const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(5);
 
 /// Answers requests by forwarding them to upstreams, or to a relay that gathers the answer.
 pub(super) struct GatewayHandler {
-    gateway: Arc<Gateway>,
+    pub(super) gateway: Arc<Gateway>,
 }
 
 /// The response to a request, and its log line.
@@ -324,75 +322,6 @@
         self.respond(rule, outcome, time_left, request_log)
     }
 
-    /// Returns whether a request that this instance could not serve may be served through another one: this instance reaches
-    /// no upstream, or opens no connection and has sent nothing.
-    fn is_out_of_reach(&self, outcome: &FanoutOutcome) -> bool {
-        let reach = &self.gateway.reach;
-        let is_unreached =
-            outcome.is_unreached || !outcome.may_have_run && reach.is_open_doubtful();
-        !outcome.is_answered && outcome.single_answer.is_none() && is_unreached
-    }
-
-    /// Relays a gathered request with many sub-requests to a larger instance. Returns `None` if this instance has to gather
-    /// the answer itself, or the request is not gathered.
-    async fn relay_to_larger(
-        &self,
-        run: &RelayRun,
-        table: &ServingTable,
-        route_index: usize,
-        request_log: &mut RequestLog,
-    ) -> Option<Response<Full<Bytes>>> {
-        let rule = &table.catalog.rules()[route_index];
-        let RouteTarget::Gather(gather) = &rule.target else {
-            return None;
-        };
-        let shares = self.gateway.domain_shares(
-            &table.states[route_index],
-            table.catalog.version,
-            &gather.shards,
-            &rule.home_regions,
-        );
-        let fleet = &self.gateway.fleet;
-        let choose = |tried: &[InstanceId]| {
-            fleet.choose_relay(gather.shards.len(), &shares, |member| {
-                !tried.contains(&member.instance)
-                    && self.gateway.may_relay_to(&rule.home_regions, member)
-            })
-        };
-        relay_request(run, choose, request_log).await
-    }
-
-    /// Relays a request to an instance that reaches the upstreams; returns `None` if none accepts it.
-    async fn relay_to_helper(
-        &self,
-        run: &RelayRun,
-        rule: &RouteRule,
-        request_log: &mut RequestLog,
-    ) -> Option<Response<Full<Bytes>>> {
-        let choose = |tried: &[InstanceId]| {
-            self.gateway.fleet.choose_helper(|member| {
-                !tried.contains(&member.instance)
-                    && self.gateway.may_relay_to(&rule.home_regions, member)
-            })
-        };
-        relay_request(run, choose, request_log).await
-    }
-
-    /// Builds the response to a request that was sent to nobody because this instance reaches no upstream. The caller's
-    /// next attempt arrives at another instance.
-    fn refuse_cut_off(
-        &self,
-        relay_headers: Option<RelayHeaders>,
-        time_left: Duration,
-        request_log: &mut RequestLog,
-    ) -> Response<Full<Bytes>> {
-        request_log.reason = "cut_off";
-        match relay_headers {
-            Some(_) => decline_relay("cut off"),
-            None => not_run_response(QUEUE_DRAIN_TIME, time_left),
-        }
-    }
-
     /// Builds the response to a request from the outcome of its sub-requests, and records the reason for the log.
     fn respond(
         &self,
@@ -520,69 +449,8 @@
     }
 }
 
-/// Relays a request to the instances that `choose` returns, one after the other; returns `None` if none of them accepts it.
-/// `choose` is passed those that were tried.
-async fn relay_request(
-    run: &RelayRun,
-    choose: impl Fn(&[InstanceId]) -> Option<MemberInfo>,
-    request_log: &mut RequestLog,
-) -> Option<Response<Full<Bytes>>> {
-    let mut tried = Vec::new();
-    while tried.len() < MAX_TRIED_RELAYS {
-        let relay = choose(&tried)?;
-        request_log.relay = relay.instance.to_string();
-        let Some(outcome) = run.gateway.run_until_stop(run.relay_to(&relay)).await else {
-            request_log.reason = "stopping";
-            return Some(error_response(
-                StatusCode::GATEWAY_TIMEOUT,
-                "no answer before this instance stops; the request may have run",
-            ));
-        };
-        match outcome {
-            RelayOutcome::Answered(head, body) => {
-                request_log.reason = "relayed";
-                return Some(forwarded_response(head.status, head.headers, body));
-            }
-            RelayOutcome::NotSent(reason) => {
-                request_log.relay_fault = reason;
-                tried.push(relay.instance);
-            }
-            RelayOutcome::Failed(reason) => {
-                // Nobody gathers the answer again: the relay may already have sent each sub-request as often as the
-                // route allows.
-                request_log.reason = "relay_lost";
-                request_log.relay_fault = reason;
-                return Some(error_response(
-                    StatusCode::BAD_GATEWAY,
-                    "the instance that gathered the answer fell silent; the request may have run",
-                ));
-            }
-        }
-    }
-    None
-}
-
-/// Returns the response of a helper, or a failure that promises nothing if the helper states that the request has not run
-/// and it may have run before.
-fn withdraw_promise(response: Response<Full<Bytes>>, may_have_run: bool) -> Response<Full<Bytes>> {
-    let is_promise = matches!(
-        response.status(),
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    );
-    match may_have_run && is_promise {
-        true => error_response(
-            StatusCode::BAD_GATEWAY,
-            "no usable answer; the request may have run",
-        ),
-        false => response,
-    }
-}
-
 /// Builds a response that passes on an answer without its hop-by-hop headers.
-fn forwarded_response(
+pub(super) fn forwarded_response(
     status: StatusCode,
     mut headers: HeaderMap,
     body: Bytes,
--- a/crates/anvilhubd/src/gateway/mod.rs
+++ b/crates/anvilhubd/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod remote_meter;
 mod request_log;
 mod request_metadata;
+mod request_relay;
 mod route_state;
 mod run_guard;
 mod send_cause;
